--- /dev/null
+++ b/crates/camphorwall-direct/src/clock.rs
@@ -0,0 +1,51 @@
+//! Time that goes on while the machine is suspended.
+
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// A moment on the clock that counts suspension, unlike `std::time::Instant`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Moment(Duration);
+
+impl Moment {
+    /// The present moment.
+    #[must_use]
+    pub fn now() -> Self {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Self(Duration::new(seconds, nanoseconds))
+    }
+
+    /// A moment at a distance from the clock's origin.
+    #[must_use]
+    pub const fn after_origin(distance: Duration) -> Self {
+        Self(distance)
+    }
+
+    /// Time from `earlier` to this moment; zero when it lies ahead.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0 + duration)
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -0,0 +1,316 @@
+//! State of an entry that reaches endpoints itself, its start and its stop.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use camphorwall::{BoxedBody, HttpLimits, HttpServer, ServiceId, TaskGroup, empty_body, stop_pair};
+use compio::net::{TcpListener, UdpSocket};
+use futures_channel::mpsc;
+use futures_util::{FutureExt as _, StreamExt as _};
+use http::{HeaderMap, HeaderName, Request, StatusCode, header};
+use hyper::{Response, body::Incoming};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
+use snafu::{ResultExt as _, Snafu};
+
+use crate::{
+    clock::Moment,
+    dialect::Dialect,
+    follow,
+    loads::Loads,
+    peers::{self, Peers},
+    placing::{self, Placing},
+    poison::{Fingerprint, Poison},
+    quota::{Quotas, usable_share},
+    registry::Registry,
+    request,
+    retries::{RetryBounds, RetryBudget},
+    settings::DirectSettings,
+    suspicion::Suspicions,
+};
+
+/// Longest idle time of a caller's connection. Callers close earlier.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Files that are left for other things than callers' connections and those to endpoints.
+const RESERVED_FILES: usize = 300;
+
+/// Time after the order to stop in which new requests are still served: the balancer takes an instance out after two
+/// probes, one a second.
+const LEAVE_GRACE: Duration = Duration::from_millis(2_600);
+
+/// Part of the time to stop that is left for the process's own end.
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
+
+/// How often a leaving entry looks whether its work has ended.
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+
+/// Fields of a head that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes the fields that concern one connection only.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// An entry that can't start.
+#[derive(Debug, Snafu)]
+#[snafu(display(
+    "can't listen on {address} (field {field}): {source}; choose a free address of this machine"
+))]
+pub struct StartError {
+    address: std::net::SocketAddr,
+    field: &'static str,
+    source: std::io::Error,
+}
+
+/// What a process is told from outside.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// The settings file may have changed.
+    Reload,
+    /// Stop within the time of the settings.
+    Stop,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Serving,
+    Leaving,
+    Refusing,
+}
+
+/// State of an entry.
+pub(crate) struct Entry {
+    pub(crate) settings: DirectSettings,
+    pub(crate) dialect: Dialect,
+    pub(crate) registry: RefCell<Registry>,
+    pub(crate) quotas: RefCell<Quotas>,
+    pub(crate) retries: RefCell<RetryBudget>,
+    pub(crate) loads: RefCell<Loads>,
+    pub(crate) suspicions: RefCell<Suspicions>,
+    pub(crate) poison: RefCell<Poison>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) placed: Placing,
+    pub(crate) tasks: TaskGroup,
+    random: RefCell<SmallRng>,
+    phase: Cell<Phase>,
+    active: Cell<usize>,
+}
+
+/// Counts a request as under way until it is dropped.
+pub(crate) struct ActiveGuard(Rc<Entry>);
+
+impl Drop for ActiveGuard {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+impl Entry {
+    fn new(settings: DirectSettings, dialect: Dialect) -> Rc<Self> {
+        let mut random = SmallRng::from_rng(&mut rand::rng());
+        let incarnation = random.random();
+        let bounds = RetryBounds {
+            share: settings.bounds.retry_share(),
+            window: settings.bounds.retry_window(),
+            allowance: settings.bounds.retry_allowance(),
+        };
+        let peers = Peers::new(settings.peer_address, &settings.seeds, incarnation);
+        Rc::new(Self {
+            settings,
+            dialect,
+            registry: RefCell::default(),
+            quotas: RefCell::default(),
+            retries: RefCell::new(RetryBudget::new(bounds)),
+            loads: RefCell::default(),
+            suspicions: RefCell::default(),
+            poison: RefCell::default(),
+            peers: RefCell::new(peers),
+            placed: Placing::default(),
+            tasks: TaskGroup::default(),
+            random: RefCell::new(random),
+            phase: Cell::new(Phase::Serving),
+            active: Cell::new(0),
+        })
+    }
+
+    /// A number in 0..1.
+    pub(crate) fn random(&self) -> f64 {
+        self.random.borrow_mut().random()
+    }
+
+    pub(crate) fn shuffle<T>(&self, items: &mut [T]) {
+        items.shuffle(&mut *self.random.borrow_mut());
+    }
+
+    pub(crate) fn begin_request(self: &Rc<Self>) -> ActiveGuard {
+        self.active.set(self.active.get() + 1);
+        ActiveGuard(Rc::clone(self))
+    }
+
+    /// Whether callers are guided away.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.phase.get() != Phase::Serving
+    }
+
+    /// Whether new requests are refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.phase.get() == Phase::Refusing
+    }
+
+    /// Takes a repeat from this entry's part of the fleet's budget.
+    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+        let entries = self.peers.borrow().count();
+        let mut retries = self.retries.borrow_mut();
+        retries.take(service, entries, Moment::now())
+    }
+
+    /// Part of each team's rate that may be spent here.
+    pub(crate) fn quota_share(&self, now: Moment) -> f64 {
+        let peers = self.peers.borrow();
+        usable_share(peers.count(), peers.silent(now))
+    }
+
+    /// Notes that an endpoint broke off while it ran a request, and tells the peers.
+    pub(crate) fn note_break(&self, fingerprint: Fingerprint) {
+        let now = Moment::now();
+        let count = self.poison.borrow_mut().note_break(fingerprint, now);
+        self.peers.borrow_mut().tell_break(fingerprint);
+        if self.poison.borrow().is_blocked(fingerprint, now) {
+            tracing::warn!(
+                event = "request_blocked",
+                fingerprint = fingerprint.0,
+                count
+            );
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let registry = self.registry.borrow();
+        let Some(configuration) = registry.configuration() else {
+            return false;
+        };
+        let key_withdrawal = self.settings.bounds.key_withdrawal();
+        let is_fresh = registry.keys_are_fresh(Moment::now(), key_withdrawal);
+        let may_serve = is_fresh || !configuration.has_teams;
+        !self.is_leaving() && may_serve && registry.has_endpoints()
+    }
+
+    fn answer_probe(&self) -> Response<BoxedBody> {
+        let mut response = Response::new(empty_body());
+        if !self.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+
+    async fn leave(&self) {
+        let deadline = Moment::now() + self.settings.bounds.shutdown().saturating_sub(EXIT_MARGIN);
+        self.phase.set(Phase::Leaving);
+        compio::time::sleep(LEAVE_GRACE).await;
+        self.phase.set(Phase::Refusing);
+        while self.active.get() > 0 && Moment::now() < deadline {
+            compio::time::sleep(DRAIN_PERIOD).await;
+        }
+    }
+}
+
+async fn bind(
+    address: std::net::SocketAddr,
+    field: &'static str,
+) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .context(StartSnafu { address, field })
+}
+
+/// Serves until the order to stop, then lets running work end.
+///
+/// # Errors
+/// When an address can't be bound.
+pub async fn run(
+    settings: DirectSettings,
+    dialect: Dialect,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+) -> Result<(), StartError> {
+    let callers = bind(settings.caller_address, "caller_address").await?;
+    let probes = bind(settings.probe_address, "probe_address").await?;
+    let address = settings.peer_address;
+    let socket = UdpSocket::bind(address).await.context(StartSnafu {
+        address,
+        field: "peer_address",
+    })?;
+    let files = settings.max_open_files.unwrap_or(1_024);
+    let limits = HttpLimits {
+        head_timeout: IDLE_TIMEOUT,
+        max_connections: files.saturating_sub(RESERVED_FILES).max(64) / 2,
+        ..HttpLimits::default()
+    };
+    let entry = Entry::new(settings, dialect);
+    tracing::info!(event = "started", instance = %entry.settings.instance);
+    let background = &entry.tasks;
+    background.spawn(follow::follow_configuration(Rc::clone(&entry)));
+    background.spawn(follow::follow_endpoints(Rc::clone(&entry)));
+    background.spawn(placing::give_places(Rc::clone(&entry)));
+    background.spawn(peers::send_words(Rc::clone(&entry), socket.clone()));
+    background.spawn(peers::receive_words(Rc::clone(&entry), socket));
+    let (stop, stopped) = stop_pair();
+    let servers = TaskGroup::default();
+    let caller_server = HttpServer {
+        listener: callers,
+        limits,
+    };
+    let served = Rc::clone(&entry);
+    let handler = move |request: Request<Incoming>| {
+        request::answer(Rc::clone(&served), request).boxed_local()
+    };
+    servers.spawn(caller_server.serve(handler, stopped.clone()));
+    let probe_server = HttpServer {
+        listener: probes,
+        limits: HttpLimits::default(),
+    };
+    let probed = Rc::clone(&entry);
+    let handler = move |_| std::future::ready(probed.answer_probe());
+    servers.spawn(probe_server.serve(handler, stopped));
+    while let Some(order) = orders.next().await {
+        match order {
+            Order::Reload => tracing::info!(
+                event = "reload_ignored",
+                reason = "all settings need a restart"
+            ),
+            Order::Stop => break,
+        }
+    }
+    tracing::info!(event = "stopping", requests = entry.active.get());
+    entry.leave().await;
+    stop.stop();
+    let joined = compio::time::timeout(EXIT_MARGIN / 2, servers.join()).await;
+    tracing::info!(
+        event = "stopped",
+        requests = entry.active.get(),
+        is_whole = joined.is_ok()
+    );
+    servers.abort();
+    entry.tasks.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -0,0 +1,241 @@
+//! Entries tell each other, in one datagram each few milliseconds, what they charged, placed and saw break.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use camphorwall::TeamId;
+use compio::net::UdpSocket;
+use serde::{Deserialize, Serialize};
+
+use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint};
+
+/// Time between two words to a peer. Placements of other entries are unknown for about this long.
+const WORD_PERIOD: Duration = Duration::from_millis(40);
+
+/// Time without a word after which a peer counts as silent; some words are lost.
+const SILENT_AFTER: Duration = Duration::from_millis(500);
+
+/// Time without a word after which a peer's work counts as ended: an entry that died leaves no connections.
+const WORK_ENDS_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Time without a word after which a peer counts as ended.
+const ENDED_AFTER: Duration = Duration::from_secs(15);
+
+/// Largest datagram that is read.
+const MAX_WORD_BYTES: usize = 16 * 1024;
+
+/// Most addresses of peers in a word.
+const MAX_TOLD_PEERS: usize = 16;
+
+/// How often a broken request is told: words may be lost.
+const BREAK_TELLS: u32 = 3;
+
+/// What an entry tells its peers.
+#[derive(Debug, Deserialize, Serialize)]
+struct Word {
+    incarnation: u64,
+    is_leaving: bool,
+    peers: Vec<SocketAddr>,
+    charges: Vec<(TeamId, f64)>,
+    work: Vec<(u64, Run)>,
+    /// Requests that an endpoint broke off: a number that grows, and the fingerprint.
+    breaks: Vec<(u64, u64)>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    incarnation: Option<u64>,
+    /// Last word, or when the address became known.
+    heard_at: Moment,
+    last_break: u64,
+}
+
+/// Known entries, by the address that they send from.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    incarnation: u64,
+    known: HashMap<SocketAddr, Peer>,
+    last_break: u64,
+    untold: Vec<(u64, Fingerprint, u32)>,
+}
+
+impl Peers {
+    /// Makes the state with the addresses of the seeds.
+    pub(crate) fn new(own: SocketAddr, seeds: &[SocketAddr], incarnation: u64) -> Self {
+        let now = Moment::now();
+        let addresses = seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), own.port()))
+            .filter(|address| *address != own);
+        let peer = |address| {
+            let peer = Peer {
+                incarnation: None,
+                heard_at: now,
+                last_break: 0,
+            };
+            (address, peer)
+        };
+        Self {
+            incarnation,
+            known: addresses.map(peer).collect(),
+            last_break: 0,
+            untold: Vec::new(),
+        }
+    }
+
+    /// Entries that are known, this one included.
+    pub(crate) fn count(&self) -> usize {
+        self.known.len() + 1
+    }
+
+    /// Known entries that have not been heard lately and may still act.
+    pub(crate) fn silent(&self, now: Moment) -> usize {
+        let is_silent = |peer: &&Peer| now.since(peer.heard_at) > SILENT_AFTER;
+        self.known.values().filter(is_silent).count()
+    }
+
+    /// Tells the peers of a request that an endpoint broke off.
+    pub(crate) fn tell_break(&mut self, fingerprint: Fingerprint) {
+        self.last_break += 1;
+        self.untold
+            .push((self.last_break, fingerprint, BREAK_TELLS));
+    }
+
+    fn breaks(&mut self) -> Vec<(u64, u64)> {
+        let told = self.untold.iter();
+        let told = told
+            .map(|(number, fingerprint, _)| (*number, fingerprint.0))
+            .collect();
+        for (_, _, left) in &mut self.untold {
+            *left -= 1;
+        }
+        self.untold.retain(|(_, _, left)| *left > 0);
+        told
+    }
+}
+
+/// Sends words until the entry's tasks are dropped.
+pub(crate) async fn send_words(entry: Rc<Entry>, socket: UdpSocket) {
+    loop {
+        send_word(&entry, &socket).await;
+        compio::time::sleep(WORD_PERIOD).await;
+        forget_ended(&entry);
+    }
+}
+
+async fn send_word(entry: &Entry, socket: &UdpSocket) {
+    let (addresses, word) = {
+        let mut peers = entry.peers.borrow_mut();
+        let addresses: Vec<_> = peers.known.keys().copied().collect();
+        let quotas = entry.quotas.borrow();
+        let word = Word {
+            incarnation: peers.incarnation,
+            is_leaving: entry.is_leaving(),
+            peers: addresses.iter().copied().take(MAX_TOLD_PEERS).collect(),
+            charges: quotas
+                .charged()
+                .map(|(team, charged)| (team.clone(), charged))
+                .collect(),
+            work: entry.loads.borrow().own(),
+            breaks: peers.breaks(),
+        };
+        (addresses, word)
+    };
+    let bytes = match postcard::to_stdvec(&word) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::warn!(event = "word_not_encoded", %error);
+            return;
+        }
+    };
+    for address in addresses {
+        // A peer may be down; its silence is noted by the receiver.
+        let _ = socket.send_to(bytes.clone(), address).await;
+    }
+}
+
+/// Receives words until the entry's tasks are dropped.
+pub(crate) async fn receive_words(entry: Rc<Entry>, socket: UdpSocket) {
+    loop {
+        let buffer = Vec::with_capacity(MAX_WORD_BYTES);
+        let received = socket.recv_from(buffer).await;
+        match received.0 {
+            Ok((_, from)) => match postcard::from_bytes::<Word>(&received.1) {
+                Ok(word) => take_word(&entry, from, word),
+                Err(error) => tracing::debug!(event = "word_unreadable", %from, %error),
+            },
+            // A peer that is down answers with an error on the socket.
+            Err(error) => {
+                tracing::debug!(event = "datagram_failed", %error);
+                compio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+fn take_word(entry: &Entry, from: SocketAddr, word: Word) {
+    let now = Moment::now();
+    let mut peers = entry.peers.borrow_mut();
+    if word.incarnation == peers.incarnation {
+        return;
+    }
+    let own = entry.settings.peer_address;
+    for address in word.peers {
+        // Told addresses count as known from now on, but not as heard.
+        if address != own && address.port() == own.port() && !peers.known.contains_key(&address) {
+            let heard_at = now;
+            let peer = Peer {
+                incarnation: None,
+                heard_at,
+                last_break: 0,
+            };
+            peers.known.insert(address, peer);
+        }
+    }
+    let peer = peers.known.entry(from).or_insert(Peer {
+        incarnation: None,
+        heard_at: now,
+        last_break: 0,
+    });
+    peer.heard_at = now;
+    if peer.incarnation != Some(word.incarnation) {
+        tracing::info!(event = "peer_found", %from, incarnation = word.incarnation);
+        if let Some(ended) = peer.incarnation.replace(word.incarnation) {
+            entry.quotas.borrow_mut().forget_peer(ended);
+            entry.loads.borrow_mut().forget_peer(ended);
+        }
+        peer.last_break = 0;
+    }
+    for (number, fingerprint) in word.breaks {
+        if number > peer.last_break {
+            peer.last_break = number;
+            let fingerprint = Fingerprint(fingerprint);
+            entry.poison.borrow_mut().note_break(fingerprint, now);
+        }
+    }
+    let mut quotas = entry.quotas.borrow_mut();
+    quotas.note_peer(word.incarnation, &word.charges);
+    let mut loads = entry.loads.borrow_mut();
+    loads.note_peer(word.incarnation, word.work);
+    entry.placed.changed();
+}
+
+fn forget_ended(entry: &Entry) {
+    let now = Moment::now();
+    let mut peers = entry.peers.borrow_mut();
+    peers.known.retain(|address, peer| {
+        let silence = now.since(peer.heard_at);
+        if let Some(incarnation) = peer.incarnation
+            && silence > WORK_ENDS_AFTER
+        {
+            entry.loads.borrow_mut().forget_peer(incarnation);
+        }
+        if silence <= ENDED_AFTER {
+            return true;
+        }
+        tracing::info!(event = "peer_lost", %address);
+        if let Some(incarnation) = peer.incarnation {
+            entry.quotas.borrow_mut().forget_peer(incarnation);
+        }
+        false
+    });
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -0,0 +1,200 @@
+//! What an entry believes of the configuration and the endpoints, and how fresh the belief is.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use camphorwall::{EndpointId, ServiceId};
+
+use crate::{
+    clock::Moment,
+    configuration::{Configuration, Endpoint, Stage},
+};
+
+/// How long after a disturbance of the store a missing registration counts as lapsed rather than as gone. A living
+/// endpoint registers anew within two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// Time after the last failed call in which the store's removals may be lapses.
+const STORE_UNSETTLED: Duration = Duration::from_secs(2);
+
+/// Part of the withdrawal bound in which no new request is taken: clock rates and the way through the entry.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
+
+#[derive(Debug)]
+struct Registration {
+    endpoint: Rc<Endpoint>,
+    revision: u64,
+    lapsed_at: Option<Moment>,
+}
+
+/// What an entry believes of the configuration and the endpoints.
+#[derive(Debug, Default)]
+pub struct Registry {
+    configuration: Option<Rc<Configuration>>,
+    proved_at: Option<Moment>,
+    registrations: HashMap<EndpointId, Registration>,
+    /// Revisions of removals, so that an older page of a list doesn't bring an endpoint back.
+    removed_at: HashMap<EndpointId, u64>,
+    store_failed_at: Option<Moment>,
+}
+
+/// What a change of the registrations did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndpointChange {
+    /// It takes work from now on.
+    Added,
+    /// It takes no new work.
+    Draining,
+    /// Its registration is missing right after a disturbance of the store.
+    Lapsed,
+    /// It is gone.
+    Removed,
+    /// Nothing that matters here.
+    Unchanged,
+}
+
+impl Registry {
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<&Rc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Puts a configuration in force unless a newer one is; tells whether it did.
+    pub fn apply_configuration(&mut self, configuration: Configuration) -> bool {
+        let in_force = self.configuration.as_ref().map(|held| held.version);
+        let is_newer = in_force.is_none_or(|version| configuration.version > version);
+        if is_newer {
+            self.configuration = Some(Rc::new(configuration));
+        }
+        is_newer
+    }
+
+    /// Notes that the configuration in force was the store's newest at `moment`, or later.
+    pub fn prove(&mut self, moment: Moment) {
+        self.proved_at = self.proved_at.max(Some(moment));
+    }
+
+    /// Whether keys may be trusted: a key that was withdrawn a whole bound ago must not be served.
+    #[must_use]
+    pub fn keys_are_fresh(&self, now: Moment, key_withdrawal: Duration) -> bool {
+        let limit = key_withdrawal.saturating_sub(WITHDRAWAL_MARGIN);
+        self.proved_at
+            .is_some_and(|proved_at| now.since(proved_at) < limit)
+    }
+
+    /// Notes a call to the store that failed.
+    pub fn note_store_failure(&mut self, now: Moment) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// Takes a registration over.
+    pub fn register(&mut self, endpoint: Endpoint, revision: u64) -> EndpointChange {
+        let is_old = |known: u64| known >= revision;
+        let removed_at = self.removed_at.get(&endpoint.id).copied();
+        let known = self.registrations.get(&endpoint.id);
+        if removed_at.is_some_and(is_old) || known.is_some_and(|known| is_old(known.revision)) {
+            return EndpointChange::Unchanged;
+        }
+        let was_taking = known.is_some_and(|known| {
+            !known.endpoint.is_draining && known.endpoint.born_ms == endpoint.born_ms
+        });
+        let change = match (was_taking, endpoint.is_draining) {
+            (false, false) => EndpointChange::Added,
+            (true, false) => EndpointChange::Unchanged,
+            (_, true) => EndpointChange::Draining,
+        };
+        let registration = Registration {
+            endpoint: Rc::new(endpoint),
+            revision,
+            lapsed_at: None,
+        };
+        self.registrations
+            .insert(registration.endpoint.id.clone(), registration);
+        change
+    }
+
+    /// Takes the removal of a registration over.
+    pub fn remove(&mut self, id: &EndpointId, revision: u64, now: Moment) -> EndpointChange {
+        let Some(known) = self.registrations.get_mut(id) else {
+            return EndpointChange::Unchanged;
+        };
+        if known.revision >= revision {
+            return EndpointChange::Unchanged;
+        }
+        let is_unsettled = self
+            .store_failed_at
+            .is_some_and(|failed_at| now.since(failed_at) < STORE_UNSETTLED);
+        if is_unsettled && !known.endpoint.is_draining {
+            known.revision = revision;
+            known.lapsed_at.get_or_insert(now);
+            return EndpointChange::Lapsed;
+        }
+        self.registrations.remove(id);
+        self.removed_at.insert(id.clone(), revision);
+        EndpointChange::Removed
+    }
+
+    /// Takes a whole list over: registrations that it lacks are removed.
+    pub fn keep_only(&mut self, listed: &[EndpointId], revision: u64, now: Moment) {
+        let missing: Vec<_> = self
+            .registrations
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, revision, now);
+        }
+    }
+
+    /// Drops the registrations that lapsed too long ago, and returns them.
+    pub fn drop_lapsed(&mut self, now: Moment) -> Vec<EndpointId> {
+        let is_over = |registration: &Registration| {
+            registration
+                .lapsed_at
+                .is_some_and(|at| now.since(at) >= LAPSE_GRACE)
+        };
+        let over: Vec<_> = self
+            .registrations
+            .iter()
+            .filter(|(_, registration)| is_over(registration))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &over {
+            if let Some(registration) = self.registrations.remove(id) {
+                self.removed_at.insert(id.clone(), registration.revision);
+            }
+        }
+        over
+    }
+
+    /// Endpoints of a service that take new work of a stage.
+    pub fn endpoints<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        stage: Stage,
+    ) -> impl Iterator<Item = &'a Rc<Endpoint>> {
+        let takes_work = move |endpoint: &&Rc<Endpoint>| {
+            endpoint.service == *service && endpoint.stage == stage && !endpoint.is_draining
+        };
+        self.registrations
+            .values()
+            .map(|registration| &registration.endpoint)
+            .filter(takes_work)
+    }
+
+    /// Whether an endpoint still takes new work.
+    #[must_use]
+    pub fn takes_work(&self, endpoint: &Endpoint) -> bool {
+        self.registrations.get(&endpoint.id).is_some_and(|known| {
+            !known.endpoint.is_draining && known.endpoint.born_ms == endpoint.born_ms
+        })
+    }
+
+    /// Whether any endpoint is known.
+    #[must_use]
+    pub fn has_endpoints(&self) -> bool {
+        !self.registrations.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/request.rs
@@ -0,0 +1,252 @@
+//! One caller's request: admission, then its way to an endpoint.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use camphorwall::{BoxedBody, ServiceId, collect_body};
+use http::{HeaderValue, Method, Request, StatusCode, Uri, Version, header};
+use hyper::{Response, body::Incoming};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    clock::Moment,
+    configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
+    dialect::{KvHandle, RequestFacts, Sending},
+    entry::{ActiveGuard, Entry},
+    plain,
+    poison::Fingerprint,
+    refusal::Refusal,
+    stream,
+};
+
+/// When a caller may come back that was refused for a state which passes soon.
+pub(crate) const SOON: Duration = Duration::from_millis(500);
+
+/// A request that was admitted.
+pub(crate) struct Admitted {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) facts: RequestFacts,
+    pub(crate) route: Rc<Route>,
+    pub(crate) service: ServiceId,
+    pub(crate) service_facts: Service,
+    pub(crate) team: Option<Rc<Team>>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) arrived_at: Moment,
+    pub(crate) ends_at: Moment,
+    pub(crate) cost: f64,
+    pub(crate) guard: ActiveGuard,
+}
+
+impl Admitted {
+    /// Time that is left.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.ends_at.since(Moment::now())
+    }
+
+    /// Rank of the request; a team's goes before its route's.
+    pub(crate) fn priority(&self) -> u32 {
+        let of_team = self.team.as_ref().and_then(|team| team.priority);
+        of_team.unwrap_or(self.route.priority)
+    }
+
+    /// The request as an endpoint gets it.
+    pub(crate) fn to_endpoint(
+        &self,
+        entry: &Entry,
+        endpoint: &Endpoint,
+        stage: Stage,
+        kv_source: Option<(std::net::SocketAddr, KvHandle)>,
+        last_event_id: Option<u64>,
+    ) -> Request<Bytes> {
+        let sending = Sending {
+            endpoint: endpoint.id.clone(),
+            team: self.team.as_ref().map(|team| team.name.clone()),
+            time_left: Some(self.time_left()),
+            stage,
+            kv_source,
+            last_event_id: last_event_id.or(self.facts.last_event_id),
+        };
+        let mut request = Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = (entry.dialect.endpoint_headers)(&self.headers, &sending);
+        request
+    }
+
+    /// Name for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.facts.request_id.as_deref().unwrap_or("none")
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer(entry: Rc<Entry>, request: Request<Incoming>) -> Response<BoxedBody> {
+    let arrived_at = Moment::now();
+    let (parts, body) = request.into_parts();
+    let facts = (entry.dialect.request_facts)(&parts);
+    let id = facts.request_id.clone();
+    let id = id.as_deref().unwrap_or("none");
+    let answered = serve(&entry, parts, body, facts, arrived_at).await;
+    let mut response = match answered {
+        Ok(response) => response,
+        Err(refusal) => {
+            let elapsed_ms = Moment::now().since(arrived_at).as_millis();
+            tracing::info!(
+                event = "refused",
+                request_id = id,
+                status = refusal.status.as_u16(),
+                reason = refusal.reason,
+                elapsed_ms,
+            );
+            refusal.response()
+        }
+    };
+    if entry.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn serve(
+    entry: &Rc<Entry>,
+    parts: http::request::Parts,
+    body: Incoming,
+    facts: RequestFacts,
+    arrived_at: Moment,
+) -> Result<Response<BoxedBody>, Refusal> {
+    let guard = entry.begin_request();
+    let (configuration, route, team) = admit_head(entry, &parts, &facts)?;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut fingerprint = Xxh3::new();
+    fingerprint.update(path.as_bytes());
+    fingerprint.update(facts.key.as_deref().unwrap_or_default().as_bytes());
+    let max_body_bytes = configuration.limits.max_body_bytes;
+    let body = collect_body(body, max_body_bytes).await;
+    let body = body.ok_or_else(|| {
+        Refusal::caller_error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large_or_broken")
+    })?;
+    fingerprint.update(&body);
+    let service = route.service(entry.random()).cloned();
+    let service = service.ok_or_else(|| Refusal::not_run("route_without_service", SOON))?;
+    let service_facts = configuration.services.get(&service).cloned();
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let limit = facts
+        .deadline
+        .map_or(timeout, |deadline| deadline.min(timeout));
+    let admitted = Admitted {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        cost: cost(&facts, team.as_deref()),
+        facts,
+        route,
+        service,
+        service_facts: service_facts.unwrap_or(Service { engine: None }),
+        team,
+        fingerprint: Fingerprint(fingerprint.digest()),
+        arrived_at,
+        ends_at: arrived_at + limit,
+        guard,
+    };
+    let now = Moment::now();
+    if entry.poison.borrow().is_blocked(admitted.fingerprint, now) {
+        return Err(Refusal::not_run(
+            "breaks_endpoints",
+            Duration::from_secs(30),
+        ));
+    }
+    // The key may have been withdrawn while the body came.
+    check_fresh(entry, &admitted.route, &configuration)?;
+    charge(entry, &admitted, now)?;
+    let mut retries = entry.retries.borrow_mut();
+    retries.earn(&admitted.service, now);
+    drop(retries);
+    let is_model = admitted.service_facts.engine.is_some();
+    match admitted.route.kind {
+        RouteKind::Stream { .. } if is_model => stream::serve(entry, admitted).await,
+        _ => plain::serve(entry, admitted).await,
+    }
+}
+
+/// What is known from the head alone: the route, and the team that holds the key.
+fn admit_head(
+    entry: &Entry,
+    parts: &http::request::Parts,
+    facts: &RequestFacts,
+) -> Result<(Rc<Configuration>, Rc<Route>, Option<Rc<Team>>), Refusal> {
+    if facts.has_two_lengths {
+        return Err(Refusal::caller_error(
+            StatusCode::BAD_REQUEST,
+            "two_lengths",
+        ));
+    }
+    if entry.is_refusing() {
+        return Err(Refusal::not_run("stopping", Duration::ZERO));
+    }
+    let registry = entry.registry.borrow();
+    let configuration = registry.configuration().cloned();
+    let configuration = configuration.ok_or_else(|| Refusal::not_run("no_configuration", SOON))?;
+    let route = configuration.route(&facts.host, parts.uri.path()).cloned();
+    let Some(route) = route else {
+        return Err(Refusal::caller_error(StatusCode::NOT_FOUND, "no_route"));
+    };
+    if route.is_open || !configuration.has_teams {
+        return Ok((configuration, route, None));
+    }
+    drop(registry);
+    check_fresh(entry, &route, &configuration)?;
+    let key = facts.key.as_deref().unwrap_or_default();
+    match configuration.keys.get(key).cloned() {
+        Some(team) => Ok((configuration, route, Some(team))),
+        None => Err(Refusal::caller_error(
+            StatusCode::UNAUTHORIZED,
+            "unknown_key",
+        )),
+    }
+}
+
+/// Keys are trusted only while the configuration is known to be the newest.
+fn check_fresh(entry: &Entry, route: &Route, configuration: &Configuration) -> Result<(), Refusal> {
+    let key_withdrawal = entry.settings.bounds.key_withdrawal();
+    let registry = entry.registry.borrow();
+    let is_keyed = configuration.has_teams && !route.is_open;
+    if is_keyed && !registry.keys_are_fresh(Moment::now(), key_withdrawal) {
+        return Err(Refusal::not_run("keys_not_proved", SOON));
+    }
+    Ok(())
+}
+
+fn cost(facts: &RequestFacts, team: Option<&Team>) -> f64 {
+    match (team, facts.prompt_tokens, facts.max_output_tokens) {
+        (Some(team), _, _) if !team.counts_tokens => 1.0,
+        (_, Some(prompt), Some(output)) => (prompt + output) as f64,
+        (Some(team), _, _) => team.default_cost,
+        (None, _, _) => 0.0,
+    }
+}
+
+fn charge(entry: &Entry, admitted: &Admitted, now: Moment) -> Result<(), Refusal> {
+    let Some(team) = &admitted.team else {
+        return Ok(());
+    };
+    let share = entry.quota_share(now);
+    let charged = entry
+        .quotas
+        .borrow_mut()
+        .charge(team, admitted.cost, share, now);
+    charged.map_err(Refusal::over_quota)
+}
+
+/// Gives the charge of a request back that has not run and won't.
+pub(crate) fn give_back(entry: &Entry, admitted: &Admitted) {
+    if let Some(team) = &admitted.team {
+        let mut quotas = entry.quotas.borrow_mut();
+        quotas.give_back(&team.name, admitted.cost);
+    }
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -0,0 +1,102 @@
+//! Settings of an entry, JSON with comments.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use camphorwall::{DataCentreId, FileError, InstanceId, read_json_with_comments};
+use serde::Deserialize;
+
+/// Settings of one entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectSettings {
+    /// Name of this process in logs and among its peers.
+    pub instance: InstanceId,
+    /// Data centre that this process runs in.
+    pub data_centre: DataCentreId,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address that the balancer probes for readiness.
+    pub probe_address: SocketAddr,
+    /// Address for datagrams of other entries; all entries use the same port.
+    pub peer_address: SocketAddr,
+    /// Addresses of some entries, possibly stale; only their hosts matter.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the configuration store.
+    pub store_address: SocketAddr,
+    /// Limit of open files of this process.
+    pub max_open_files: Option<usize>,
+    /// Promises that the deployment holds the system to.
+    pub bounds: Bounds,
+}
+
+/// Promises that the deployment holds the system to; a missing one takes its default.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time after which a withdrawn key must not be served, in milliseconds.
+    pub key_withdrawal_ms: Option<u64>,
+    /// Time between the order to stop and the kill, in seconds.
+    pub shutdown_s: Option<f64>,
+    /// Time after a disturbance after which the promises hold again, in milliseconds.
+    pub contact_ms: Option<u64>,
+    /// Repeats as a share of requests.
+    pub retry_share: Option<f64>,
+    /// Window over which repeats are counted, in seconds.
+    pub retry_window_s: Option<f64>,
+    /// Repeats in each window beyond the share.
+    pub retry_allowance: Option<f64>,
+    /// Time after which a part that was read into a cache no longer counts as recent, in seconds.
+    pub retry_after_s: Option<f64>,
+}
+
+impl Bounds {
+    const DEFAULT_KEY_WITHDRAWAL_MS: u64 = 5_000;
+    const DEFAULT_SHUTDOWN_S: f64 = 8.0;
+    const DEFAULT_RETRY_SHARE: f64 = 0.1;
+    const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
+    const DEFAULT_RETRY_ALLOWANCE: f64 = 20.0;
+
+    /// Time after which a withdrawn key must not be served.
+    #[must_use]
+    pub fn key_withdrawal(&self) -> Duration {
+        let withdrawal_ms = self
+            .key_withdrawal_ms
+            .unwrap_or(Self::DEFAULT_KEY_WITHDRAWAL_MS);
+        Duration::from_millis(withdrawal_ms)
+    }
+
+    /// Time between the order to stop and the kill.
+    #[must_use]
+    pub fn shutdown(&self) -> Duration {
+        Duration::from_secs_f64(self.shutdown_s.unwrap_or(Self::DEFAULT_SHUTDOWN_S))
+    }
+
+    /// Repeats as a share of requests.
+    #[must_use]
+    pub fn retry_share(&self) -> f64 {
+        self.retry_share.unwrap_or(Self::DEFAULT_RETRY_SHARE)
+    }
+
+    /// Window over which repeats are counted.
+    #[must_use]
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_secs_f64(self.retry_window_s.unwrap_or(Self::DEFAULT_RETRY_WINDOW_S))
+    }
+
+    /// Repeats in each window beyond the share.
+    #[must_use]
+    pub fn retry_allowance(&self) -> f64 {
+        self.retry_allowance
+            .unwrap_or(Self::DEFAULT_RETRY_ALLOWANCE)
+    }
+}
+
+impl DirectSettings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    /// When the file can't be read, or a field is unknown, missing or wrong.
+    pub fn read(path: &Path) -> Result<Self, FileError> {
+        read_json_with_comments(path)
+    }
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -0,0 +1,464 @@
+//! Serves a streamed request of a model: a decode place, a prefill, then the stream.
+
+use std::{io, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use camphorwall::{BoxedBody, EndpointId, stream_body};
+use futures_util::stream;
+use hyper::Response;
+
+use crate::{
+    choice::choose_prefill,
+    clock::Moment,
+    configuration::{Endpoint, EngineLimits, Stage},
+    dialect::KvHandle,
+    entry::{Entry, remove_connection_headers},
+    events::EventSplitter,
+    loads::Run,
+    outcome::{Outcome, attempt},
+    placing::{Place, PlaceRequest, Rank, candidates},
+    refusal::Refusal,
+    request::{Admitted, give_back},
+    upstream::{self, AnswerBody},
+};
+
+/// Time that a prefill and the transfer of its KV cache are expected to take; a place that is given later than this
+/// before the target can't bring the first event in time.
+const PREPARATION: Duration = Duration::from_millis(250);
+
+/// Longest time to wait for a place once the answer can't be on time.
+const LATE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Longest time that a prefill may take; its endpoint is busy for far less.
+const PREFILL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Most tokens of a prefill's answer that is read.
+const MAX_PREFILL_BYTES: usize = 64 * 1024;
+
+/// Sends after refusals that one request may cause.
+const MAX_REFUSALS: u32 = 3;
+
+/// A KV cache that waits for its decode endpoint.
+struct Prefilled {
+    endpoint: Rc<Endpoint>,
+    handle: KvHandle,
+}
+
+/// A stream that has begun.
+struct Opened {
+    place: Place,
+    parts: http::response::Parts,
+    body: AnswerBody,
+}
+
+/// What the attempts of a request have cost so far.
+#[derive(Default)]
+struct Progress {
+    excluded: Vec<EndpointId>,
+    runs: u32,
+    refusals: u32,
+    prefills: u32,
+}
+
+/// Serves a request; the stream goes on after this returns.
+pub(crate) async fn serve(
+    entry: &Rc<Entry>,
+    admitted: Admitted,
+) -> Result<Response<BoxedBody>, Refusal> {
+    let mut progress = Progress::default();
+    let opening = open(entry, &admitted, &mut progress, None);
+    let opened = compio::time::timeout(admitted.time_left(), opening).await;
+    let opened = opened.unwrap_or_else(|_| {
+        Err(if progress.runs > 0 {
+            Refusal::timed_out()
+        } else {
+            Refusal::not_run("no_place_in_time", Duration::from_secs(1))
+        })
+    });
+    match opened {
+        Ok(opened) => Ok(relay(entry, admitted, progress, opened)),
+        Err(refusal) => {
+            if progress.runs == 0 {
+                give_back(entry, &admitted);
+            }
+            Err(refusal)
+        }
+    }
+}
+
+fn engine(admitted: &Admitted) -> EngineLimits {
+    admitted.service_facts.engine.unwrap_or(EngineLimits {
+        slots: 1,
+        kv_capacity_tokens: u64::MAX,
+        event_tokens: 1,
+    })
+}
+
+fn expected_run(admitted: &Admitted, delivered_tokens: u64) -> Run {
+    let facts = &admitted.facts;
+    let most = facts.max_output_tokens.unwrap_or(u64::from(u32::MAX));
+    let estimate = facts.output_estimate_tokens.unwrap_or(most / 2).min(most);
+    let small = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX / 4);
+    Run {
+        held_tokens: small(facts.prompt_tokens.unwrap_or(0) + delivered_tokens),
+        left_tokens: small(estimate.saturating_sub(delivered_tokens)),
+    }
+}
+
+/// Finds a place, has the prompt read and opens the stream.
+async fn open(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &mut Progress,
+    last_event_id: Option<u64>,
+) -> Result<Opened, Refusal> {
+    let mut prefilled = None;
+    loop {
+        let mut place = find_place(entry, admitted, progress, last_event_id).await?;
+        if prefilled.is_none() {
+            prefilled = prefill(entry, admitted, progress, &place.endpoint).await?;
+        }
+        if !entry.registry.borrow().takes_work(&place.endpoint) {
+            progress.excluded.push(place.endpoint.id.clone());
+            place = find_place(entry, admitted, progress, last_event_id).await?;
+        }
+        let source = prefilled
+            .as_ref()
+            .map(|held: &Prefilled| (held.endpoint.address, held.handle.clone()));
+        let request =
+            admitted.to_endpoint(entry, &place.endpoint, Stage::Decode, source, last_event_id);
+        progress.runs += 1;
+        match attempt(entry, admitted, &place.endpoint, request).await {
+            Outcome::Answered(answer) if answer.parts.status.is_success() => {
+                return Ok(Opened {
+                    place,
+                    parts: answer.parts,
+                    body: answer.body,
+                });
+            }
+            Outcome::Answered(answer) => {
+                return Ok(Opened {
+                    place,
+                    parts: answer.parts,
+                    body: answer.body,
+                });
+            }
+            Outcome::NotRun => {
+                progress.runs -= 1;
+                progress.refusals += 1;
+                progress.excluded.push(place.endpoint.id.clone());
+                if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
+                    free(entry, prefilled);
+                    return Err(give_up(progress, "endpoints_full"));
+                }
+                // Whether the KV cache can still be taken isn't told; it lives only shortly.
+                if let Some(held) = prefilled.take() {
+                    free(entry, Some(held));
+                }
+            }
+            Outcome::NotSent => {
+                progress.runs -= 1;
+                progress.excluded.push(place.endpoint.id.clone());
+            }
+            Outcome::Lost => {
+                progress.excluded.push(place.endpoint.id.clone());
+                prefilled = None;
+                let can_repeat =
+                    admitted.route.kind.may_repeat() && progress.runs < admitted.route.max_attempts;
+                if !can_repeat || !entry.take_retry(&admitted.service) {
+                    return Err(Refusal::may_have_run("no_whole_answer"));
+                }
+            }
+        }
+    }
+}
+
+fn give_up(progress: &Progress, reason: &'static str) -> Refusal {
+    if progress.runs > 0 {
+        Refusal::may_have_run("no_whole_answer")
+    } else {
+        Refusal::not_run(reason, Duration::from_secs(1))
+    }
+}
+
+/// Waits for a decode place while the answer can be on time, then shortly for one that is late.
+async fn find_place(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &Progress,
+    last_event_id: Option<u64>,
+) -> Result<Place, Refusal> {
+    let limits = engine(admitted);
+    let delivered = last_event_id.map_or(0, |id| id * limits.event_tokens);
+    let target = Duration::from_millis(admitted.route.target_ms);
+    let on_time = target.saturating_sub(PREPARATION);
+    let is_late = Moment::now().since(admitted.arrived_at) > on_time;
+    let request = PlaceRequest {
+        service: admitted.service.clone(),
+        capacity_tokens: limits.kv_capacity_tokens,
+        run: expected_run(admitted, delivered),
+        rank: Rank {
+            is_late,
+            priority: admitted.priority(),
+            arrived_at: admitted.arrived_at,
+        },
+        excluded: progress.excluded.clone(),
+    };
+    let until = admitted.arrived_at
+        + if is_late {
+            on_time + LATE_WAIT
+        } else {
+            on_time
+        };
+    let patience = until.since(Moment::now());
+    let placed = compio::time::timeout(patience, entry.placed.place(request)).await;
+    match placed {
+        Ok(Some(place)) => Ok(place),
+        _ => Err(give_up(progress, "no_place_in_time")),
+    }
+}
+
+/// Has the prompt read; `None` where the service has no endpoints that only prefill.
+async fn prefill(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &mut Progress,
+    decode: &Endpoint,
+) -> Result<Option<Prefilled>, Refusal> {
+    let prompt_tokens = expected_run(admitted, 0).held_tokens;
+    let mut excluded = Vec::new();
+    loop {
+        let (endpoints, candidates) = candidates(
+            entry,
+            &admitted.service,
+            Stage::Prefill,
+            &decode.data_centre,
+            &excluded,
+        );
+        let Some(chosen) = choose_prefill(&candidates, prompt_tokens) else {
+            if excluded.is_empty() {
+                return Ok(None);
+            }
+            return Err(give_up(progress, "no_prefill"));
+        };
+        let endpoint = Rc::clone(&endpoints[chosen]);
+        let run = Run {
+            held_tokens: prompt_tokens,
+            left_tokens: 0,
+        };
+        let place = Place::take(entry, Rc::clone(&endpoint), run);
+        if progress.prefills > 0 && !entry.take_retry(&admitted.service) {
+            return Err(give_up(progress, "retry_budget"));
+        }
+        progress.prefills += 1;
+        let request = admitted.to_endpoint(entry, &endpoint, Stage::Prefill, None, None);
+        let reading = read_prefill(entry, admitted, &endpoint, request);
+        let handle = compio::time::timeout(PREFILL_TIMEOUT, reading).await;
+        drop(place);
+        match handle {
+            Ok(Some(handle)) => return Ok(Some(Prefilled { endpoint, handle })),
+            Ok(None) => {}
+            Err(_) => {
+                let now = Moment::now();
+                entry
+                    .suspicions
+                    .borrow_mut()
+                    .note_failure(&endpoint.id, now);
+            }
+        }
+        excluded.push(endpoint.id.clone());
+    }
+}
+
+async fn read_prefill(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    endpoint: &Endpoint,
+    request: http::Request<Bytes>,
+) -> Option<KvHandle> {
+    let sent = upstream::send(endpoint.address, request).await;
+    let mut answer = match sent {
+        Ok(answer) => answer,
+        Err(error) => {
+            let now = Moment::now();
+            entry
+                .suspicions
+                .borrow_mut()
+                .note_failure(&endpoint.id, now);
+            tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
+            if matches!(error, upstream::SendError::Broken { .. }) {
+                entry.note_break(admitted.fingerprint);
+            }
+            return None;
+        }
+    };
+    let body = answer.body.collect(MAX_PREFILL_BYTES).await;
+    let handle = body.ok().and_then(|body| (entry.dialect.prefilled)(&body));
+    match handle {
+        Some(handle) if answer.parts.status.is_success() => {
+            entry.suspicions.borrow_mut().note_answer(&endpoint.id);
+            Some(handle)
+        }
+        _ => {
+            tracing::info!(
+                event = "prefill_refused",
+                request_id = admitted.id(),
+                endpoint = %endpoint.id,
+                status = answer.parts.status.as_u16(),
+            );
+            None
+        }
+    }
+}
+
+/// Frees a KV cache that nobody will take.
+fn free(entry: &Rc<Entry>, prefilled: Option<Prefilled>) {
+    let Some(held) = prefilled else { return };
+    let request = (entry.dialect.free_kv)(&held.handle);
+    entry.tasks.spawn(async move {
+        // A cache that can't be freed lapses by itself.
+        let freeing = upstream::send(held.endpoint.address, request);
+        let _ = compio::time::timeout(Duration::from_secs(1), freeing).await;
+    });
+}
+
+/// A stream on its way to the caller.
+struct Relay {
+    entry: Rc<Entry>,
+    admitted: Admitted,
+    progress: Progress,
+    splitter: EventSplitter,
+    event_tokens: u32,
+    last_event_id: Option<u64>,
+    events: u32,
+    opened: Option<(Place, AnswerBody)>,
+}
+
+fn relay(
+    entry: &Rc<Entry>,
+    admitted: Admitted,
+    progress: Progress,
+    opened: Opened,
+) -> Response<BoxedBody> {
+    let Opened {
+        place,
+        mut parts,
+        body,
+    } = opened;
+    remove_connection_headers(&mut parts.headers);
+    parts.version = http::Version::HTTP_11;
+    let event_tokens = u32::try_from(engine(&admitted).event_tokens).unwrap_or(1);
+    let relay = Relay {
+        entry: Rc::clone(entry),
+        admitted,
+        progress,
+        splitter: EventSplitter::default(),
+        event_tokens,
+        last_event_id: None,
+        events: 0,
+        opened: Some((place, body)),
+    };
+    let chunks = stream::unfold(relay, |mut relay| async move {
+        let chunk = relay.next().await?;
+        Some((chunk, relay))
+    });
+    Response::from_parts(parts, stream_body(chunks))
+}
+
+impl Relay {
+    /// The next whole events; `None` at the stream's whole end.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let (place, body) = self.opened.as_mut()?;
+            let left = self.admitted.time_left();
+            let read = compio::time::timeout(left, body.next()).await;
+            match read {
+                Ok(Ok(Some(bytes))) => {
+                    let events = self.splitter.push(&bytes);
+                    if events.count == 0 {
+                        continue;
+                    }
+                    place.advance(events.count * self.event_tokens);
+                    self.events += events.count;
+                    self.last_event_id = events.last_id.or(self.last_event_id);
+                    return Some(Ok(events.bytes));
+                }
+                Ok(Ok(None)) => {
+                    self.log_end("whole");
+                    self.opened = None;
+                    let rest = self.splitter.rest();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Ok(Err(error)) => {
+                    if let Err(refusal) = self.resume(&error).await {
+                        return Some(Err(self.cut(refusal.reason)));
+                    }
+                }
+                Err(_) => return Some(Err(self.cut("timed_out"))),
+            }
+        }
+    }
+
+    fn cut(&mut self, reason: &'static str) -> io::Error {
+        self.log_end(reason);
+        self.opened = None;
+        io::Error::other(reason)
+    }
+
+    /// Opens the stream anew after its last whole event.
+    async fn resume(&mut self, error: &io::Error) -> Result<(), Refusal> {
+        let Some((place, _)) = self.opened.take() else {
+            return Err(Refusal::may_have_run("ended"));
+        };
+        let now = Moment::now();
+        let endpoint = Rc::clone(&place.endpoint);
+        drop(place);
+        self.entry
+            .suspicions
+            .borrow_mut()
+            .note_failure(&endpoint.id, now);
+        self.entry.note_break(self.admitted.fingerprint);
+        tracing::info!(
+            event = "stream_broke",
+            request_id = self.admitted.id(),
+            endpoint = %endpoint.id,
+            events = self.events,
+            %error,
+        );
+        self.splitter = EventSplitter::default();
+        self.progress.excluded.push(endpoint.id.clone());
+        let route = &self.admitted.route;
+        let can_repeat = route.kind.may_repeat() && self.progress.runs < route.max_attempts;
+        let is_blocked = {
+            let poison = self.entry.poison.borrow();
+            poison.is_blocked(self.admitted.fingerprint, now)
+        };
+        if !can_repeat || is_blocked || !self.entry.take_retry(&self.admitted.service) {
+            return Err(Refusal::may_have_run("broke_off"));
+        }
+        let opening = open(
+            &self.entry,
+            &self.admitted,
+            &mut self.progress,
+            self.last_event_id,
+        );
+        let opened = compio::time::timeout(self.admitted.time_left(), opening).await;
+        let opened = opened.map_err(|_| Refusal::timed_out())??;
+        if !opened.parts.status.is_success() {
+            return Err(Refusal::may_have_run("resume_failed"));
+        }
+        self.opened = Some((opened.place, opened.body));
+        Ok(())
+    }
+
+    fn log_end(&self, outcome: &'static str) {
+        let elapsed_ms = Moment::now().since(self.admitted.arrived_at).as_millis();
+        tracing::info!(
+            event = "stream_ended",
+            request_id = self.admitted.id(),
+            outcome,
+            events = self.events,
+            elapsed_ms,
+        );
+    }
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -0,0 +1,141 @@
+//! One request to one endpoint, each over a connection of its own.
+//!
+//! No connection is used twice: a late or extra answer can't be taken for that of the next request, and a
+//! connection that has gone silent or was closed while idle can't swallow one.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use compio::{net::TcpStream, runtime::JoinHandle};
+use cyper_core::HyperStream;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use snafu::Snafu;
+
+/// Longest time to set up a connection; a reachable endpoint takes one or two round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A request that got no answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum SendError {
+    /// No connection; the request has not run.
+    #[snafu(display("no connection to {address}: {message}; check that the endpoint runs"))]
+    NotSent {
+        address: SocketAddr,
+        message: String,
+    },
+    /// The connection broke after something was sent; the request may have run.
+    #[snafu(display("the connection to {address} broke: {message}; the request may have run"))]
+    Broken {
+        address: SocketAddr,
+        message: String,
+    },
+}
+
+/// An answer whose body is still to come. Dropping it closes the connection.
+pub(crate) struct Answer {
+    pub(crate) parts: http::response::Parts,
+    pub(crate) body: AnswerBody,
+}
+
+/// The rest of an answer, with the connection that brings it.
+pub(crate) struct AnswerBody {
+    incoming: Incoming,
+    /// Dropping the handle ends the task, which closes the connection.
+    _connection: JoinHandle<()>,
+}
+
+impl AnswerBody {
+    /// The next bytes; `None` at the answer's whole end.
+    pub(crate) async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        while let Some(frame) = self.incoming.frame().await {
+            if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+
+    /// The whole rest, if it has at most `max_bytes`.
+    pub(crate) async fn collect(&mut self, max_bytes: usize) -> io::Result<Bytes> {
+        let mut collected = Vec::new();
+        while let Some(data) = self.next().await? {
+            if collected.len() + data.len() > max_bytes {
+                return Err(io::Error::other(
+                    "the answer is larger than its call allows",
+                ));
+            }
+            collected.extend_from_slice(&data);
+        }
+        Ok(collected.into())
+    }
+}
+
+/// An open connection on which nothing was sent yet.
+pub(crate) struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Connects to an endpoint.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let not_sent = |error: &dyn std::fmt::Display| SendError::NotSent {
+            address,
+            message: error.to_string(),
+        };
+        let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(&error)),
+            Err(_) => return Err(not_sent(&"no answer in time")),
+        };
+        // Without this option small requests may wait for an acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::Builder::new()
+            .handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|error| not_sent(&error))?;
+        let task = compio::runtime::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "endpoint_connection_ended", %address, %error);
+            }
+        });
+        Ok(Self {
+            address,
+            sender,
+            task,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(mut self, request: Request<Bytes>) -> Result<Answer, SendError> {
+        let sent = self.sender.send_request(request.map(Full::new)).await;
+        let response: Response<Incoming> = sent.map_err(|error| SendError::Broken {
+            address: self.address,
+            message: describe(&error),
+        })?;
+        let (parts, incoming) = response.into_parts();
+        let body = AnswerBody {
+            incoming,
+            _connection: self.task,
+        };
+        Ok(Answer { parts, body })
+    }
+}
+
+/// Connects, sends a request and waits for the head of its answer.
+pub(crate) async fn send(
+    address: SocketAddr,
+    request: Request<Bytes>,
+) -> Result<Answer, SendError> {
+    Connection::open(address).await?.send(request).await
+}
+
+fn describe(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
