--- a/crates/camphorwall-direct/src/choice.rs
+++ b/crates/camphorwall-direct/src/choice.rs
@@ -4,7 +4,7 @@
 
 /// What is known of one candidate.
 #[derive(Clone, Debug, Default)]
-pub struct Candidate {
+pub(crate) struct Candidate {
     /// Work at the endpoint.
     pub runs: Vec<Run>,
     /// Requests that it runs at once.
@@ -23,7 +23,7 @@
 /// The load that this answers: decode endpoints are full by memory long before their slots are taken, and a run
 /// holds up to twice its prompt at its end.
 #[must_use]
-pub fn peak_tokens(runs: &[Run], candidate: Run) -> u64 {
+pub(crate) fn peak_tokens(runs: &[Run], candidate: Run) -> u64 {
     let mut ordered: Vec<Run> = runs.iter().copied().chain([candidate]).collect();
     ordered.sort_unstable_by_key(|run| run.left_tokens);
     let mut held: u64 = ordered.iter().map(|run| u64::from(run.held_tokens)).sum();
@@ -43,7 +43,7 @@
 /// The decode endpoint on which a run fits with the lowest peak of memory. `trust` is the share of the capacity that
 /// the forecast may fill.
 #[must_use]
-pub fn choose_decode(
+pub(crate) fn choose_decode(
     candidates: &[Candidate],
     run: Run,
     capacity_tokens: u64,
@@ -52,7 +52,7 @@
     let capacity = capacity_tokens as f64;
     let rank = |candidate: &Candidate| {
         let peak = peak_tokens(&candidate.runs, run) as f64 / capacity;
-        let has_slot = (candidate.runs.len() as u32) < candidate.slots;
+        let has_slot = candidate.runs.len() < candidate.slots as usize;
         let penalty = if candidate.is_near { 0.0 } else { FAR_PENALTY };
         (has_slot && peak <= trust && !candidate.is_suspect).then_some(peak + penalty)
     };
@@ -61,7 +61,7 @@
 
 /// The prefill endpoint with the fewest tokens before it.
 #[must_use]
-pub fn choose_prefill(candidates: &[Candidate], prompt_tokens: u32) -> Option<usize> {
+pub(crate) fn choose_prefill(candidates: &[Candidate], prompt_tokens: u32) -> Option<usize> {
     let rank = |candidate: &Candidate| {
         let waiting: u64 = candidate
             .runs
@@ -81,7 +81,7 @@
 
 /// The plain endpoint with the lowest share of its slots in use.
 #[must_use]
-pub fn choose_plain(candidates: &[Candidate]) -> Option<usize> {
+pub(crate) fn choose_plain(candidates: &[Candidate]) -> Option<usize> {
     let rank = |candidate: &Candidate| {
         let load = candidate.runs.len() as f64 / f64::from(candidate.slots.max(1));
         let far = if candidate.is_near { 0.0 } else { 0.1 };
--- a/crates/camphorwall-direct/src/clock.rs
+++ b/crates/camphorwall-direct/src/clock.rs
@@ -9,27 +9,27 @@
 
 /// A moment on the clock that counts suspension, unlike `std::time::Instant`.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Moment(Duration);
+pub(crate) struct Moment(Duration);
 
 impl Moment {
     /// The present moment.
     #[must_use]
-    pub fn now() -> Self {
+    pub(crate) fn now() -> Self {
         let time = clock_gettime(ClockId::Boottime);
         let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
         let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
         Self(Duration::new(seconds, nanoseconds))
     }
 
-    /// A moment at a distance from the clock's origin.
-    #[must_use]
-    pub const fn after_origin(distance: Duration) -> Self {
+    /// A moment at a distance from the clock's origin, for tests.
+    #[cfg(test)]
+    pub(crate) const fn after_origin(distance: Duration) -> Self {
         Self(distance)
     }
 
     /// Time from `earlier` to this moment; zero when it lies ahead.
     #[must_use]
-    pub fn since(self, earlier: Self) -> Duration {
+    pub(crate) fn since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
 }
--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -25,6 +25,9 @@
     pub store: StoreDialect,
 }
 
+/// Reads a configuration from an item; `None` for an item that holds none.
+pub type ReadConfiguration = fn(key: &str, value: &[u8]) -> Option<Result<Configuration, String>>;
+
 /// Functions of the adapter for the configuration store.
 #[derive(Clone, Copy)]
 pub struct StoreDialect {
@@ -40,8 +43,8 @@
     pub page: fn(&[u8]) -> Result<Page, String>,
     /// Reads what has changed.
     pub changes: fn(&[u8]) -> Result<Changes, String>,
-    /// Reads a configuration; `None` for an item that is none.
-    pub configuration: fn(key: &str, value: &[u8]) -> Option<Result<Configuration, String>>,
+    /// Reads a configuration.
+    pub configuration: ReadConfiguration,
     /// Reads an endpoint's registration.
     pub endpoint: fn(key: &str, value: &[u8]) -> Result<Endpoint, String>,
 }
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -254,7 +254,7 @@
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) -> Result<(), StartError> {
     let callers = bind(settings.caller_address, "caller_address").await?;
-    let probes = bind(settings.probe_address, "probe_address").await?;
+    let probe_listener = bind(settings.probe_address, "probe_address").await?;
     let address = settings.peer_address;
     let socket = UdpSocket::bind(address).await.context(StartSnafu {
         address,
@@ -286,11 +286,11 @@
     };
     servers.spawn(caller_server.serve(handler, stopped.clone()));
     let probe_server = HttpServer {
-        listener: probes,
+        listener: probe_listener,
         limits: HttpLimits::default(),
     };
-    let probed = Rc::clone(&entry);
-    let handler = move |_| std::future::ready(probed.answer_probe());
+    let answering = Rc::clone(&entry);
+    let handler = move |_| std::future::ready(answering.answer_probe());
     servers.spawn(probe_server.serve(handler, stopped));
     while let Some(order) = orders.next().await {
         match order {
--- a/crates/camphorwall-direct/src/events.rs
+++ b/crates/camphorwall-direct/src/events.rs
@@ -10,13 +10,13 @@
 
 /// Holds the bytes of an event back until the event is whole.
 #[derive(Debug, Default)]
-pub struct EventSplitter {
+pub(crate) struct EventSplitter {
     held: BytesMut,
 }
 
 /// Whole events.
 #[derive(Debug, Default, Eq, PartialEq)]
-pub struct Events {
+pub(crate) struct Events {
     /// Their bytes.
     pub bytes: Bytes,
     /// How many they are.
@@ -27,7 +27,7 @@
 
 impl EventSplitter {
     /// Takes bytes and returns the events that are whole now.
-    pub fn push(&mut self, bytes: &[u8]) -> Events {
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Events {
         let searched = self.held.len().saturating_sub(END.len() - 1);
         self.held.extend_from_slice(bytes);
         let Some(end) = last_end(&self.held[searched..]) else {
@@ -49,7 +49,7 @@
     }
 
     /// Bytes of an event that is not whole.
-    pub fn rest(&mut self) -> Bytes {
+    pub(crate) fn rest(&mut self) -> Bytes {
         self.held.split().freeze()
     }
 }
--- a/crates/camphorwall-direct/src/follow.rs
+++ b/crates/camphorwall-direct/src/follow.rs
@@ -16,10 +16,10 @@
 
 /// How long the store may hold a call that waits for changes of the configuration. Each answer renews the proof that
 /// the configuration in force is the newest, which must be younger than the bound for withdrawn keys.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
 /// How long the store may hold a call that waits for changes of endpoints.
-const ENDPOINTS_WAIT: Duration = Duration::from_millis(3_000);
+const ENDPOINTS_WAIT: Duration = Duration::from_secs(3);
 
 /// Longest time for the store's own work on a call.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -142,10 +142,10 @@
 /// Reads all items below the prefix; returns the revision from which to watch.
 async fn list(entry: &Rc<Entry>, duty: &Duty) -> Result<u64, StoreError> {
     let store = &entry.dialect.store;
-    let mut keys = Vec::new();
+    let mut keys: Vec<Box<str>> = Vec::new();
     let mut first_revision = None;
     loop {
-        let path = (store.list_path)(duty.prefix, keys.last().map(|key: &Box<str>| &**key));
+        let path = (store.list_path)(duty.prefix, keys.last().map(AsRef::as_ref));
         let body = call(entry.settings.store_address, &path, ANSWER_TIMEOUT).await?;
         let page: Page = (store.page)(&body).map_err(StoreError::Failed)?;
         let revision = *first_revision.get_or_insert(page.revision);
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/loads.rs
@@ -7,13 +7,13 @@
 
 /// Short name of an endpoint between entries.
 #[must_use]
-pub fn endpoint_key(id: &EndpointId) -> u64 {
+pub(crate) fn endpoint_key(id: &EndpointId) -> u64 {
     xxh3_64(id.as_str().as_bytes())
 }
 
 /// One request at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
-pub struct Run {
+pub(crate) struct Run {
     /// Tokens in the endpoint's memory now, or to prefill.
     pub held_tokens: u32,
     /// Tokens that it is expected to generate yet.
@@ -22,11 +22,11 @@
 
 /// Name of a piece of own work.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct WorkId(u64);
+pub(crate) struct WorkId(u64);
 
 /// Work of this entry and its peers.
 #[derive(Debug, Default)]
-pub struct Loads {
+pub(crate) struct Loads {
     next_id: u64,
     own: HashMap<WorkId, (u64, Run)>,
     /// Work of peers, by incarnation.
@@ -35,7 +35,7 @@
 
 impl Loads {
     /// Notes own work at an endpoint.
-    pub fn begin(&mut self, endpoint: &EndpointId, run: Run) -> WorkId {
+    pub(crate) fn begin(&mut self, endpoint: &EndpointId, run: Run) -> WorkId {
         self.next_id += 1;
         let id = WorkId(self.next_id);
         self.own.insert(id, (endpoint_key(endpoint), run));
@@ -43,7 +43,7 @@
     }
 
     /// Notes tokens that own work has generated.
-    pub fn advance(&mut self, id: WorkId, tokens: u32) {
+    pub(crate) fn advance(&mut self, id: WorkId, tokens: u32) {
         if let Some((_, run)) = self.own.get_mut(&id) {
             run.held_tokens += tokens;
             // A run beyond its estimate is expected to go on for a part of what it has generated.
@@ -57,28 +57,28 @@
     }
 
     /// Notes the end of own work.
-    pub fn end(&mut self, id: WorkId) {
+    pub(crate) fn end(&mut self, id: WorkId) {
         self.own.remove(&id);
     }
 
     /// Own work, for peers.
     #[must_use]
-    pub fn own(&self) -> Vec<(u64, Run)> {
+    pub(crate) fn own(&self) -> Vec<(u64, Run)> {
         self.own.values().copied().collect()
     }
 
     /// Takes over what a peer has under way.
-    pub fn note_peer(&mut self, incarnation: u64, work: Vec<(u64, Run)>) {
+    pub(crate) fn note_peer(&mut self, incarnation: u64, work: Vec<(u64, Run)>) {
         self.peers.insert(incarnation, work);
     }
 
     /// Forgets a peer that has ended.
-    pub fn forget_peer(&mut self, incarnation: u64) {
+    pub(crate) fn forget_peer(&mut self, incarnation: u64) {
         self.peers.remove(&incarnation);
     }
 
     /// Work at an endpoint.
-    pub fn at(&self, endpoint: &EndpointId) -> Vec<Run> {
+    pub(crate) fn at(&self, endpoint: &EndpointId) -> Vec<Run> {
         let key = endpoint_key(endpoint);
         let own = self.own.values();
         let all = own.chain(self.peers.values().flatten());
--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -104,11 +104,6 @@
         receiver.await.ok()
     }
 
-    /// Requests that wait.
-    pub(crate) fn waiting(&self) -> usize {
-        self.waiters.borrow().len()
-    }
-
     async fn until_changed(&self) {
         poll_fn(|context| {
             self.waker.register(context.waker());
@@ -142,19 +137,16 @@
             index += 1;
             continue;
         }
-        match find(entry, request) {
-            Some(endpoint) => {
-                let place = Place::take(entry, endpoint, request.run);
-                let waiter = waiters.remove(index);
-                // The receiver may be gone by now; its place is freed at once.
-                if let Err(place) = waiter.sender.send(place) {
-                    drop(place);
-                }
-            }
-            None => {
-                blocked.push(request.service.clone());
-                index += 1;
-            }
+        let Some(endpoint) = find(entry, request) else {
+            blocked.push(request.service.clone());
+            index += 1;
+            continue;
+        };
+        let place = Place::take(entry, endpoint, request.run);
+        let waiter = waiters.remove(index);
+        // The receiver may be gone by now; its place is freed at once.
+        if let Err(place) = waiter.sender.send(place) {
+            drop(place);
         }
     }
 }
--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -15,15 +15,15 @@
 
 /// Name of a request that stays the same when its caller sends it again.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct Fingerprint(pub u64);
+pub(crate) struct Fingerprint(pub u64);
 
 /// Requests whose attempts broke.
 #[derive(Debug, Default)]
-pub struct Poison(HashMap<Fingerprint, (u32, Moment)>);
+pub(crate) struct Poison(HashMap<Fingerprint, (u32, Moment)>);
 
 impl Poison {
     /// Notes that an endpoint broke off while it ran the request.
-    pub fn note_break(&mut self, fingerprint: Fingerprint, now: Moment) -> u32 {
+    pub(crate) fn note_break(&mut self, fingerprint: Fingerprint, now: Moment) -> u32 {
         if self.0.len() >= MAX_REMEMBERED {
             self.0.retain(|_, (_, at)| now.since(*at) < MEMORY / 4);
         }
@@ -38,7 +38,7 @@
 
     /// Whether the request must not be sent.
     #[must_use]
-    pub fn is_blocked(&self, fingerprint: Fingerprint, now: Moment) -> bool {
+    pub(crate) fn is_blocked(&self, fingerprint: Fingerprint, now: Moment) -> bool {
         self.0
             .get(&fingerprint)
             .is_some_and(|(count, at)| *count >= LIMIT && now.since(*at) <= MEMORY)
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -23,7 +23,7 @@
 
 /// Accounts of all teams that were seen.
 #[derive(Debug, Default)]
-pub struct Quotas {
+pub(crate) struct Quotas {
     accounts: HashMap<TeamId, Account>,
     /// Sums of charges that peers told, by peer and team.
     told: HashMap<u64, HashMap<TeamId, f64>>,
@@ -31,7 +31,7 @@
 
 /// Part of the rate that may be spent here while peers are silent.
 #[must_use]
-pub fn usable_share(entries: usize, silent: usize) -> f64 {
+pub(crate) fn usable_share(entries: usize, silent: usize) -> f64 {
     1.0 - silent as f64 / entries.max(1) as f64
 }
 
@@ -60,7 +60,7 @@
     ///
     /// # Errors
     /// The time after which to come back, when the team is beyond its contract.
-    pub fn charge(
+    pub(crate) fn charge(
         &mut self,
         team: &Team,
         cost: f64,
@@ -84,7 +84,7 @@
     }
 
     /// Gives the charge of a request back that has not run.
-    pub fn give_back(&mut self, team: &TeamId, cost: f64) {
+    pub(crate) fn give_back(&mut self, team: &TeamId, cost: f64) {
         if let Some(account) = self.accounts.get_mut(team) {
             account.level = (account.level + cost).min(account.burst);
             account.charged -= cost;
@@ -92,14 +92,14 @@
     }
 
     /// This entry's charges by team, for its peers.
-    pub fn charged(&self) -> impl Iterator<Item = (&TeamId, f64)> {
+    pub(crate) fn charged(&self) -> impl Iterator<Item = (&TeamId, f64)> {
         self.accounts
             .iter()
             .map(|(team, account)| (team, account.charged))
     }
 
     /// Takes over what a peer has charged since it started.
-    pub fn note_peer(&mut self, incarnation: u64, charges: &[(TeamId, f64)]) {
+    pub(crate) fn note_peer(&mut self, incarnation: u64, charges: &[(TeamId, f64)]) {
         let told = self.told.entry(incarnation).or_default();
         for (team, charged) in charges {
             let Some(account) = self.accounts.get_mut(team) else {
@@ -114,7 +114,7 @@
     }
 
     /// Forgets a peer that has ended.
-    pub fn forget_peer(&mut self, incarnation: u64) {
+    pub(crate) fn forget_peer(&mut self, incarnation: u64) {
         self.told.remove(&incarnation);
     }
 }
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -28,7 +28,7 @@
 
 /// What an entry believes of the configuration and the endpoints.
 #[derive(Debug, Default)]
-pub struct Registry {
+pub(crate) struct Registry {
     configuration: Option<Rc<Configuration>>,
     proved_at: Option<Moment>,
     registrations: HashMap<EndpointId, Registration>,
@@ -40,7 +40,7 @@
 /// What a change of the registrations did.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
-pub enum EndpointChange {
+pub(crate) enum EndpointChange {
     /// It takes work from now on.
     Added,
     /// It takes no new work.
@@ -56,12 +56,12 @@
 impl Registry {
     /// The configuration in force.
     #[must_use]
-    pub fn configuration(&self) -> Option<&Rc<Configuration>> {
+    pub(crate) fn configuration(&self) -> Option<&Rc<Configuration>> {
         self.configuration.as_ref()
     }
 
     /// Puts a configuration in force unless a newer one is; tells whether it did.
-    pub fn apply_configuration(&mut self, configuration: Configuration) -> bool {
+    pub(crate) fn apply_configuration(&mut self, configuration: Configuration) -> bool {
         let in_force = self.configuration.as_ref().map(|held| held.version);
         let is_newer = in_force.is_none_or(|version| configuration.version > version);
         if is_newer {
@@ -71,25 +71,25 @@
     }
 
     /// Notes that the configuration in force was the store's newest at `moment`, or later.
-    pub fn prove(&mut self, moment: Moment) {
+    pub(crate) fn prove(&mut self, moment: Moment) {
         self.proved_at = self.proved_at.max(Some(moment));
     }
 
     /// Whether keys may be trusted: a key that was withdrawn a whole bound ago must not be served.
     #[must_use]
-    pub fn keys_are_fresh(&self, now: Moment, key_withdrawal: Duration) -> bool {
+    pub(crate) fn keys_are_fresh(&self, now: Moment, key_withdrawal: Duration) -> bool {
         let limit = key_withdrawal.saturating_sub(WITHDRAWAL_MARGIN);
         self.proved_at
             .is_some_and(|proved_at| now.since(proved_at) < limit)
     }
 
     /// Notes a call to the store that failed.
-    pub fn note_store_failure(&mut self, now: Moment) {
+    pub(crate) fn note_store_failure(&mut self, now: Moment) {
         self.store_failed_at = Some(now);
     }
 
     /// Takes a registration over.
-    pub fn register(&mut self, endpoint: Endpoint, revision: u64) -> EndpointChange {
+    pub(crate) fn register(&mut self, endpoint: Endpoint, revision: u64) -> EndpointChange {
         let is_old = |known: u64| known >= revision;
         let removed_at = self.removed_at.get(&endpoint.id).copied();
         let known = self.registrations.get(&endpoint.id);
@@ -115,7 +115,7 @@
     }
 
     /// Takes the removal of a registration over.
-    pub fn remove(&mut self, id: &EndpointId, revision: u64, now: Moment) -> EndpointChange {
+    pub(crate) fn remove(&mut self, id: &EndpointId, revision: u64, now: Moment) -> EndpointChange {
         let Some(known) = self.registrations.get_mut(id) else {
             return EndpointChange::Unchanged;
         };
@@ -136,7 +136,7 @@
     }
 
     /// Takes a whole list over: registrations that it lacks are removed.
-    pub fn keep_only(&mut self, listed: &[EndpointId], revision: u64, now: Moment) {
+    pub(crate) fn keep_only(&mut self, listed: &[EndpointId], revision: u64, now: Moment) {
         let missing: Vec<_> = self
             .registrations
             .keys()
@@ -149,7 +149,7 @@
     }
 
     /// Drops the registrations that lapsed too long ago, and returns them.
-    pub fn drop_lapsed(&mut self, now: Moment) -> Vec<EndpointId> {
+    pub(crate) fn drop_lapsed(&mut self, now: Moment) -> Vec<EndpointId> {
         let is_over = |registration: &Registration| {
             registration
                 .lapsed_at
@@ -170,7 +170,7 @@
     }
 
     /// Endpoints of a service that take new work of a stage.
-    pub fn endpoints<'a>(
+    pub(crate) fn endpoints<'a>(
         &'a self,
         service: &'a ServiceId,
         stage: Stage,
@@ -186,7 +186,7 @@
 
     /// Whether an endpoint still takes new work.
     #[must_use]
-    pub fn takes_work(&self, endpoint: &Endpoint) -> bool {
+    pub(crate) fn takes_work(&self, endpoint: &Endpoint) -> bool {
         self.registrations.get(&endpoint.id).is_some_and(|known| {
             !known.endpoint.is_draining && known.endpoint.born_ms == endpoint.born_ms
         })
@@ -194,7 +194,7 @@
 
     /// Whether any endpoint is known.
     #[must_use]
-    pub fn has_endpoints(&self) -> bool {
+    pub(crate) fn has_endpoints(&self) -> bool {
         !self.registrations.is_empty()
     }
 }
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -37,7 +37,8 @@
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
     pub(crate) cost: f64,
-    pub(crate) guard: ActiveGuard,
+    /// Keeps a stopping entry alive until the answer's end.
+    _active: ActiveGuard,
 }
 
 impl Admitted {
@@ -120,7 +121,11 @@
     arrived_at: Moment,
 ) -> Result<Response<BoxedBody>, Refusal> {
     let guard = entry.begin_request();
-    let (configuration, route, team) = admit_head(entry, &parts, &facts)?;
+    let HeadFacts {
+        configuration,
+        route,
+        team,
+    } = admit_head(entry, &parts, &facts)?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut fingerprint = Xxh3::new();
     fingerprint.update(path.as_bytes());
@@ -152,7 +157,7 @@
         fingerprint: Fingerprint(fingerprint.digest()),
         arrived_at,
         ends_at: arrived_at + limit,
-        guard,
+        _active: guard,
     };
     let now = Moment::now();
     if entry.poison.borrow().is_blocked(admitted.fingerprint, now) {
@@ -164,9 +169,7 @@
     // The key may have been withdrawn while the body came.
     check_fresh(entry, &admitted.route, &configuration)?;
     charge(entry, &admitted, now)?;
-    let mut retries = entry.retries.borrow_mut();
-    retries.earn(&admitted.service, now);
-    drop(retries);
+    entry.retries.borrow_mut().earn(&admitted.service, now);
     let is_model = admitted.service_facts.engine.is_some();
     match admitted.route.kind {
         RouteKind::Stream { .. } if is_model => stream::serve(entry, admitted).await,
@@ -174,12 +177,19 @@
     }
 }
 
-/// What is known from the head alone: the route, and the team that holds the key.
+/// What is known from the head alone.
+struct HeadFacts {
+    configuration: Rc<Configuration>,
+    route: Rc<Route>,
+    /// Team that holds the key.
+    team: Option<Rc<Team>>,
+}
+
 fn admit_head(
     entry: &Entry,
     parts: &http::request::Parts,
     facts: &RequestFacts,
-) -> Result<(Rc<Configuration>, Rc<Route>, Option<Rc<Team>>), Refusal> {
+) -> Result<HeadFacts, Refusal> {
     if facts.has_two_lengths {
         return Err(Refusal::caller_error(
             StatusCode::BAD_REQUEST,
@@ -197,13 +207,21 @@
         return Err(Refusal::caller_error(StatusCode::NOT_FOUND, "no_route"));
     };
     if route.is_open || !configuration.has_teams {
-        return Ok((configuration, route, None));
+        return Ok(HeadFacts {
+            configuration,
+            route,
+            team: None,
+        });
     }
     drop(registry);
     check_fresh(entry, &route, &configuration)?;
     let key = facts.key.as_deref().unwrap_or_default();
     match configuration.keys.get(key).cloned() {
-        Some(team) => Ok((configuration, route, Some(team))),
+        Some(team) => Ok(HeadFacts {
+            configuration,
+            route,
+            team: Some(team),
+        }),
         None => Err(Refusal::caller_error(
             StatusCode::UNAUTHORIZED,
             "unknown_key",
--- a/crates/camphorwall-direct/src/retries.rs
+++ b/crates/camphorwall-direct/src/retries.rs
@@ -14,7 +14,7 @@
 
 /// Bounds of repeats.
 #[derive(Clone, Copy, Debug)]
-pub struct RetryBounds {
+pub(crate) struct RetryBounds {
     /// Repeats as a share of requests.
     pub share: f64,
     /// Window over which both are counted.
@@ -25,7 +25,7 @@
 
 /// Requests and repeats of each service in the last window.
 #[derive(Debug)]
-pub struct RetryBudget {
+pub(crate) struct RetryBudget {
     bounds: RetryBounds,
     services: HashMap<ServiceId, Counts>,
 }
@@ -45,7 +45,7 @@
 impl RetryBudget {
     /// Makes a budget from which nothing was taken.
     #[must_use]
-    pub fn new(bounds: RetryBounds) -> Self {
+    pub(crate) fn new(bounds: RetryBounds) -> Self {
         Self {
             bounds,
             services: HashMap::new(),
@@ -53,7 +53,7 @@
     }
 
     /// Counts a caller's request.
-    pub fn earn(&mut self, service: &ServiceId, now: Moment) {
+    pub(crate) fn earn(&mut self, service: &ServiceId, now: Moment) {
         let counts = self.services.entry(service.clone()).or_default();
         counts.requests.push_back(now);
         forget(&mut counts.requests, now, self.bounds.window);
@@ -61,7 +61,7 @@
 
     /// Takes one repeat, if this entry's part of the fleet's budget has one left. The share follows from own requests;
     /// the allowance is divided between the entries.
-    pub fn take(&mut self, service: &ServiceId, entries: usize, now: Moment) -> bool {
+    pub(crate) fn take(&mut self, service: &ServiceId, entries: usize, now: Moment) -> bool {
         let counts = self.services.entry(service.clone()).or_default();
         forget(&mut counts.requests, now, self.bounds.window);
         forget(&mut counts.repeats, now, self.bounds.window);
--- a/crates/camphorwall-direct/src/suspicion.rs
+++ b/crates/camphorwall-direct/src/suspicion.rs
@@ -20,11 +20,11 @@
 
 /// Endpoints that recently failed.
 #[derive(Debug, Default)]
-pub struct Suspicions(HashMap<EndpointId, Failures>);
+pub(crate) struct Suspicions(HashMap<EndpointId, Failures>);
 
 impl Suspicions {
     /// Notes a request that the endpoint did not answer.
-    pub fn note_failure(&mut self, endpoint: &EndpointId, now: Moment) {
+    pub(crate) fn note_failure(&mut self, endpoint: &EndpointId, now: Moment) {
         let failures = self.0.entry(endpoint.clone()).or_insert(Failures {
             count: 0,
             until: now,
@@ -35,13 +35,13 @@
     }
 
     /// Notes a request that the endpoint answered.
-    pub fn note_answer(&mut self, endpoint: &EndpointId) {
+    pub(crate) fn note_answer(&mut self, endpoint: &EndpointId) {
         self.0.remove(endpoint);
     }
 
     /// Whether the endpoint is passed over now.
     #[must_use]
-    pub fn is_suspect(&self, endpoint: &EndpointId, now: Moment) -> bool {
+    pub(crate) fn is_suspect(&self, endpoint: &EndpointId, now: Moment) -> bool {
         self.0
             .get(endpoint)
             .is_some_and(|failures| now < failures.until)
