Let requests wait shortly for their team's tokens, small ones ahead of large ones

Cause: a burst covers two to eight large requests, so clumps of a team within its rate were refused with endpoints free. Requests wait up to half their target now.

--- /dev/null
+++ b/crates/camphorwall-direct/src/charge.rs
@@ -0,0 +1,139 @@
+//! Tokens that a request takes from its team's contract.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use crate::{
+    clock::Moment,
+    configuration::{Route, Team},
+    dialect::RequestFacts,
+    entry::Entry,
+    quota::{Offer, Ticket},
+    refusal::Refusal,
+};
+
+/// Part of the time to the target that a request may wait for its team's tokens.
+const PATIENCE: f64 = 0.5;
+
+/// How often a waiting request looks whether its tokens are there.
+const LOOK_PERIOD: Duration = Duration::from_millis(30);
+
+/// Shortest pause between two looks.
+const SHORTEST_WAIT: Duration = Duration::from_millis(2);
+
+/// A request's tokens, which its team gets back unless the request may have run.
+pub(crate) struct Charge {
+    entry: Rc<Entry>,
+    team: Option<Rc<Team>>,
+    cost: f64,
+    may_have_run: Cell<bool>,
+}
+
+impl Charge {
+    /// Charges a request and waits until its team has the tokens.
+    pub(crate) async fn take(
+        entry: &Rc<Entry>,
+        facts: &RequestFacts,
+        route: &Route,
+        team: Option<Rc<Team>>,
+    ) -> Result<Self, Refusal> {
+        let mut charge = Self {
+            entry: Rc::clone(entry),
+            team: None,
+            cost: cost(facts, team.as_deref()),
+            may_have_run: Cell::new(false),
+        };
+        let Some(team) = team else {
+            return Ok(charge);
+        };
+        let now = Moment::now();
+        let share = entry.quota_share(now);
+        let patience = Duration::from_millis(route.target_ms).mul_f64(PATIENCE);
+        let offer = {
+            let mut quotas = entry.quotas.borrow_mut();
+            quotas.offer(&team, charge.cost, share, patience, now)
+        };
+        match offer {
+            Offer::Taken => {}
+            Offer::Wait(ticket, wait) => {
+                wait_for_tokens(entry, &team, ticket, wait, now + patience).await?;
+            }
+            Offer::Refused(retry_after) => return Err(Refusal::over_quota(retry_after)),
+        }
+        charge.team = Some(team);
+        Ok(charge)
+    }
+
+    /// Notes whether the request may have run so far.
+    pub(crate) fn note(&self, may_have_run: bool) {
+        self.may_have_run.set(may_have_run);
+    }
+}
+
+/// A place in the queue for tokens, given up when it is dropped.
+struct Turn<'a> {
+    entry: &'a Entry,
+    team: &'a Team,
+    ticket: Ticket,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let mut quotas = self.entry.quotas.borrow_mut();
+        quotas.withdraw(&self.team.name, self.ticket);
+    }
+}
+
+/// Waits until a request's tokens are there, at most until a moment.
+async fn wait_for_tokens(
+    entry: &Entry,
+    team: &Team,
+    ticket: Ticket,
+    wait: Duration,
+    until: Moment,
+) -> Result<(), Refusal> {
+    let turn = Turn {
+        entry,
+        team,
+        ticket,
+    };
+    let mut wait = wait;
+    loop {
+        let left = until.since(Moment::now());
+        if left.is_zero() {
+            return Err(Refusal::over_quota(wait));
+        }
+        // Requests before this one may leave, so the forecast is looked at again meanwhile.
+        compio::time::sleep(wait.min(LOOK_PERIOD).min(left)).await;
+        let now = Moment::now();
+        let share = entry.quota_share(now);
+        let claimed = entry
+            .quotas
+            .borrow_mut()
+            .claim(team, turn.ticket, share, now);
+        match claimed {
+            Ok(()) => return Ok(()),
+            Err(longer) => wait = longer.max(SHORTEST_WAIT),
+        }
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if let Some(team) = &self.team
+            && !self.may_have_run.get()
+        {
+            let mut quotas = self.entry.quotas.borrow_mut();
+            quotas.give_back(&team.name, self.cost);
+        }
+    }
+}
+
+/// What a request costs: the tokens that it may use, or what the contract says where it names none.
+fn cost(facts: &RequestFacts, team: Option<&Team>) -> f64 {
+    match (team, facts.prompt_tokens, facts.max_output_tokens) {
+        (Some(team), _, _) if !team.counts_tokens => 1.0,
+        (_, Some(prompt), Some(output)) => (prompt + output) as f64,
+        (Some(team), _, _) => team.default_cost,
+        (None, _, _) => 0.0,
+    }
+}
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! What a platform calls things stays in its adapter, which hands a [`Dialect`] over.
 
+mod charge;
 mod choice;
 mod clock;
 mod configuration;
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -15,7 +15,7 @@
     outcome::{Outcome, attempt},
     placing::{Place, candidates},
     refusal::Refusal,
-    request::{Admitted, SOON, give_back},
+    request::{Admitted, SOON},
 };
 
 /// Largest answer that is read whole before it is passed on.
@@ -41,25 +41,13 @@
     let mut progress = Progress::default();
     let serving = try_endpoints(entry, &admitted, &mut progress);
     let result = compio::time::timeout(admitted.time_left(), serving).await;
-    let has_run = progress.runs > 0;
-    match result {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(refusal)) => {
-            if !has_run {
-                give_back(entry, &admitted);
-            }
-            Err(refusal)
-        }
-        Err(_) => {
-            if let Some(endpoint) = progress.tried.last() {
-                entry
-                    .suspicions
-                    .borrow_mut()
-                    .note_failure(endpoint, Moment::now());
-            }
-            Err(Refusal::timed_out())
+    result.unwrap_or_else(|_| {
+        if let Some(endpoint) = progress.tried.last() {
+            let now = Moment::now();
+            entry.suspicions.borrow_mut().note_failure(endpoint, now);
         }
-    }
+        Err(Refusal::timed_out())
+    })
 }
 
 async fn try_endpoints(
@@ -84,6 +72,7 @@
         let request = admitted.to_endpoint(entry, &endpoint, Stage::Whole, None, None);
         // Until the endpoint says otherwise, what was sent may have run.
         progress.runs += 1;
+        admitted.charge.note(true);
         let outcome = attempt(entry, admitted, &endpoint, request).await;
         let failed = match outcome {
             Outcome::Answered(answer) => {
@@ -98,6 +87,7 @@
             }
             Outcome::NotRun => {
                 progress.runs -= 1;
+                admitted.charge.note(progress.runs > 0);
                 progress.refusals += 1;
                 if progress.refusals > MAX_REFUSALS || !take_retry(entry, admitted) {
                     return Err(give_up(progress, "endpoints_full"));
@@ -106,6 +96,7 @@
             }
             Outcome::NotSent => {
                 progress.runs -= 1;
+                admitted.charge.note(progress.runs > 0);
                 continue;
             }
             Outcome::Lost => None,
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -4,14 +4,44 @@
 //! A peer that has gone silent may still be charging. While it is silent, its even share of the rate is withheld here;
 //! it withholds the others' shares in the same way, so that the two sides of a partition stay within one contract.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use camphorwall::TeamId;
 
 use crate::{clock::Moment, configuration::Team};
 
-/// Charges of one team.
+/// Longest wait that is told to a caller, in seconds.
+const MAX_WAIT_S: f64 = 60.0;
+
+/// A request of less than this part of the first waiting one's cost doesn't queue behind it.
+const SMALL_PART: f64 = 0.1;
+
+/// Name of a request that waits for its tokens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Ticket(u64);
+
+/// Answer to a request for tokens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Offer {
+    /// The tokens are charged.
+    Taken,
+    /// The tokens may be there after a time.
+    Wait(Ticket, Duration),
+    /// The wait would be too long; the time after which to come back.
+    Refused(Duration),
+}
+
 #[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    cost: f64,
+}
+
+/// Charges of one team.
+#[derive(Debug)]
 struct Account {
     level: f64,
     rate_per_s: f64,
@@ -19,6 +49,36 @@
     updated_at: Moment,
     /// Sum of this entry's own charges less what it gave back.
     charged: f64,
+    /// Requests that wait here, in the order of their arrival.
+    waiting: VecDeque<Waiting>,
+}
+
+impl Account {
+    fn refill(&mut self, team: &Team, rate_per_s: f64, share: f64, now: Moment) {
+        let elapsed_s = now.since(self.updated_at).as_secs_f64();
+        let refilled = self.level + self.rate_per_s * share * elapsed_s;
+        self.rate_per_s = rate_per_s;
+        self.burst = team.burst;
+        self.level = refilled.min(team.burst);
+        self.updated_at = now;
+    }
+
+    /// Charges what fits. A request larger than the burst waits for a full account.
+    fn take(&mut self, cost: f64) -> bool {
+        let fits = self.level >= cost.min(self.burst);
+        if fits {
+            self.level -= cost;
+            self.charged += cost;
+        }
+        fits
+    }
+
+    /// Time until the level covers a cost and the cost of those that wait before it.
+    fn wait(&self, cost: f64, before: f64, share: f64) -> Duration {
+        let missing = before + cost.min(self.burst) - self.level;
+        let rate_per_s = (self.rate_per_s * share).max(1.0);
+        Duration::from_secs_f64((missing / rate_per_s).clamp(0.0, MAX_WAIT_S))
+    }
 }
 
 /// Accounts of all teams that were seen.
@@ -27,6 +87,7 @@
     accounts: HashMap<TeamId, Account>,
     /// Sums of charges that peers told, by peer and team.
     told: HashMap<u64, HashMap<TeamId, f64>>,
+    next_ticket: u64,
 }
 
 /// Part of the rate that may be spent here while peers are silent.
@@ -37,50 +98,98 @@
 
 impl Quotas {
     fn account(&mut self, team: &Team, rate_per_s: f64, share: f64, now: Moment) -> &mut Account {
-        let account = self
-            .accounts
-            .entry(team.name.clone())
-            .or_insert_with(|| Account {
-                level: team.burst,
-                rate_per_s,
-                burst: team.burst,
-                updated_at: now,
-                charged: 0.0,
-            });
-        let elapsed_s = now.since(account.updated_at).as_secs_f64();
-        let refilled = account.level + account.rate_per_s * share * elapsed_s;
-        account.rate_per_s = rate_per_s;
-        account.burst = team.burst;
-        account.level = refilled.min(team.burst);
-        account.updated_at = now;
+        let fresh = || Account {
+            level: team.burst,
+            rate_per_s,
+            burst: team.burst,
+            updated_at: now,
+            charged: 0.0,
+            waiting: VecDeque::new(),
+        };
+        let account = self.accounts.entry(team.name.clone()).or_insert_with(fresh);
+        account.refill(team, rate_per_s, share, now);
         account
     }
 
-    /// Charges a request, or tells after which time its charge will fit.
+    /// Charges a request, or tells how long it will wait or when to come back.
     ///
-    /// # Errors
-    /// The time after which to come back, when the team is beyond its contract.
-    pub(crate) fn charge(
+    /// The load that this answers: a team within its rate whose requests come in clumps, and one far beyond it. A
+    /// burst may be as small as two large requests, so a refusal at once would turn away what fits a moment later;
+    /// small requests must not wait behind large ones.
+    pub(crate) fn offer(
         &mut self,
         team: &Team,
         cost: f64,
         share: f64,
+        patience: Duration,
+        now: Moment,
+    ) -> Offer {
+        let Some(rate_per_s) = team.rate_per_s else {
+            return Offer::Taken;
+        };
+        let ticket = Ticket(self.next_ticket);
+        let account = self.account(team, rate_per_s, share, now);
+        let first = account.waiting.front();
+        let may_pass = first.is_none_or(|first| cost < first.cost * SMALL_PART);
+        if may_pass && account.take(cost) {
+            return Offer::Taken;
+        }
+        let before: f64 = account.waiting.iter().map(|waiting| waiting.cost).sum();
+        let wait = account.wait(cost, if may_pass { 0.0 } else { before }, share);
+        if wait > patience {
+            return Offer::Refused(wait);
+        }
+        let waiting = Waiting { ticket, cost };
+        if may_pass {
+            account.waiting.push_front(waiting);
+        } else {
+            account.waiting.push_back(waiting);
+        }
+        self.next_ticket += 1;
+        Offer::Wait(ticket, wait)
+    }
+
+    /// Charges a waiting request whose turn it is, or tells how long it still waits.
+    ///
+    /// # Errors
+    /// The time after which to ask again.
+    pub(crate) fn claim(
+        &mut self,
+        team: &Team,
+        ticket: Ticket,
+        share: f64,
         now: Moment,
     ) -> Result<(), Duration> {
         let Some(rate_per_s) = team.rate_per_s else {
             return Ok(());
         };
         let account = self.account(team, rate_per_s, share, now);
-        // A request larger than the burst waits for a full account.
-        let needed = cost.min(account.burst);
-        if account.level < needed {
-            let missing = needed - account.level;
-            let wait_s = missing / (rate_per_s * share).max(1.0);
-            return Err(Duration::from_secs_f64(wait_s.min(60.0)));
+        let place = account
+            .waiting
+            .iter()
+            .position(|waiting| waiting.ticket == ticket);
+        let Some(place) = place else {
+            return Ok(());
+        };
+        let before: f64 = account
+            .waiting
+            .iter()
+            .take(place)
+            .map(|waiting| waiting.cost)
+            .sum();
+        let cost = account.waiting[place].cost;
+        if place == 0 && account.take(cost) {
+            account.waiting.pop_front();
+            return Ok(());
+        }
+        Err(account.wait(cost, before, share))
+    }
+
+    /// Ends the wait of a request that has no tokens yet.
+    pub(crate) fn withdraw(&mut self, team: &TeamId, ticket: Ticket) {
+        if let Some(account) = self.accounts.get_mut(team) {
+            account.waiting.retain(|waiting| waiting.ticket != ticket);
         }
-        account.level -= cost;
-        account.charged += cost;
-        Ok(())
     }
 
     /// Gives the charge of a request back that has not run.
@@ -102,14 +211,13 @@
     pub(crate) fn note_peer(&mut self, incarnation: u64, charges: &[(TeamId, f64)]) {
         let told = self.told.entry(incarnation).or_default();
         for (team, charged) in charges {
-            let Some(account) = self.accounts.get_mut(team) else {
-                // Without an own request of the team its account is still full here; what peers charged since then
-                // counts from the first own request on.
-                told.insert(team.clone(), *charged);
-                continue;
-            };
             let before = told.insert(team.clone(), *charged);
-            account.level = (account.level - (charged - before.unwrap_or(0.0))).min(account.burst);
+            // Without an own request of the team its account is full here; what peers charge counts from the first
+            // own request on.
+            if let Some(account) = self.accounts.get_mut(team) {
+                let since = charged - before.unwrap_or(0.0);
+                account.level = (account.level - since).min(account.burst);
+            }
         }
     }
 
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    charge::Charge,
     clock::Moment,
     configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
     dialect::{KvHandle, RequestFacts, Sending},
@@ -36,7 +37,7 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
-    pub(crate) cost: f64,
+    pub(crate) charge: Charge,
     /// Keeps a stopping entry alive until the answer's end.
     _active: ActiveGuard,
 }
@@ -143,33 +144,32 @@
     let limit = facts
         .deadline
         .map_or(timeout, |deadline| deadline.min(timeout));
+    let fingerprint = Fingerprint(fingerprint.digest());
+    let now = Moment::now();
+    if entry.poison.borrow().is_blocked(fingerprint, now) {
+        let retry_after = Duration::from_secs(30);
+        return Err(Refusal::not_run("breaks_endpoints", retry_after));
+    }
+    entry.retries.borrow_mut().earn(&service, now);
+    let charge = Charge::take(entry, &facts, &route, team.clone()).await?;
+    // The key may have been withdrawn while the body came, or the tokens.
+    check_fresh(entry, &route, &configuration)?;
     let admitted = Admitted {
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
-        cost: cost(&facts, team.as_deref()),
+        charge,
         facts,
         route,
         service,
         service_facts: service_facts.unwrap_or(Service { engine: None }),
         team,
-        fingerprint: Fingerprint(fingerprint.digest()),
+        fingerprint,
         arrived_at,
         ends_at: arrived_at + limit,
         _active: guard,
     };
-    let now = Moment::now();
-    if entry.poison.borrow().is_blocked(admitted.fingerprint, now) {
-        return Err(Refusal::not_run(
-            "breaks_endpoints",
-            Duration::from_secs(30),
-        ));
-    }
-    // The key may have been withdrawn while the body came.
-    check_fresh(entry, &admitted.route, &configuration)?;
-    charge(entry, &admitted, now)?;
-    entry.retries.borrow_mut().earn(&admitted.service, now);
     let is_model = admitted.service_facts.engine.is_some();
     match admitted.route.kind {
         RouteKind::Stream { .. } if is_model => stream::serve(entry, admitted).await,
@@ -239,32 +239,3 @@
     }
     Ok(())
 }
-
-fn cost(facts: &RequestFacts, team: Option<&Team>) -> f64 {
-    match (team, facts.prompt_tokens, facts.max_output_tokens) {
-        (Some(team), _, _) if !team.counts_tokens => 1.0,
-        (_, Some(prompt), Some(output)) => (prompt + output) as f64,
-        (Some(team), _, _) => team.default_cost,
-        (None, _, _) => 0.0,
-    }
-}
-
-fn charge(entry: &Entry, admitted: &Admitted, now: Moment) -> Result<(), Refusal> {
-    let Some(team) = &admitted.team else {
-        return Ok(());
-    };
-    let share = entry.quota_share(now);
-    let charged = entry
-        .quotas
-        .borrow_mut()
-        .charge(team, admitted.cost, share, now);
-    charged.map_err(Refusal::over_quota)
-}
-
-/// Gives the charge of a request back that has not run and won't.
-pub(crate) fn give_back(entry: &Entry, admitted: &Admitted) {
-    if let Some(team) = &admitted.team {
-        let mut quotas = entry.quotas.borrow_mut();
-        quotas.give_back(&team.name, admitted.cost);
-    }
-}
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -18,7 +18,7 @@
     outcome::{Outcome, attempt},
     placing::{Place, PlaceRequest, Rank, candidates},
     refusal::Refusal,
-    request::{Admitted, give_back},
+    request::Admitted,
     upstream::{self, AnswerBody},
 };
 
@@ -75,15 +75,7 @@
             Refusal::not_run("no_place_in_time", Duration::from_secs(1))
         })
     });
-    match opened {
-        Ok(opened) => Ok(relay(entry, admitted, progress, opened)),
-        Err(refusal) => {
-            if progress.runs == 0 {
-                give_back(entry, &admitted);
-            }
-            Err(refusal)
-        }
-    }
+    Ok(relay(entry, admitted, progress, opened?))
 }
 
 fn engine(admitted: &Admitted) -> EngineLimits {
@@ -128,14 +120,8 @@
         let request =
             admitted.to_endpoint(entry, &place.endpoint, Stage::Decode, source, last_event_id);
         progress.runs += 1;
+        admitted.charge.note(true);
         match attempt(entry, admitted, &place.endpoint, request).await {
-            Outcome::Answered(answer) if answer.parts.status.is_success() => {
-                return Ok(Opened {
-                    place,
-                    parts: answer.parts,
-                    body: answer.body,
-                });
-            }
             Outcome::Answered(answer) => {
                 return Ok(Opened {
                     place,
@@ -145,6 +131,7 @@
             }
             Outcome::NotRun => {
                 progress.runs -= 1;
+                admitted.charge.note(progress.runs > 0);
                 progress.refusals += 1;
                 progress.excluded.push(place.endpoint.id.clone());
                 if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
@@ -158,6 +145,7 @@
             }
             Outcome::NotSent => {
                 progress.runs -= 1;
+                admitted.charge.note(progress.runs > 0);
                 progress.excluded.push(place.endpoint.id.clone());
             }
             Outcome::Lost => {
