--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -44,6 +44,10 @@
 /// Part of the time to stop that is left for the process's own end.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time beyond the bound for withdrawn keys after which a peer that is cut off takes no keys: what it had admitted by
+/// then has been sent.
+const PEER_MARGIN: Duration = Duration::from_secs(1);
+
 /// How often a leaving entry looks whether its work has ended.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
@@ -188,7 +192,8 @@
     /// Part of each team's rate that may be spent here.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
-        usable_share(peers.count(), peers.silent(now))
+        let keys_end = self.settings.bounds.key_withdrawal() + PEER_MARGIN;
+        usable_share(peers.count(), peers.silent(keys_end, now))
     }
 
     /// Notes that an endpoint broke off while it ran a request, and tells the peers.
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -87,10 +87,23 @@
         self.known.len() + 1
     }
 
-    /// Known entries that have not been heard lately and may still act.
-    pub(crate) fn silent(&self, now: Moment) -> usize {
-        let is_silent = |peer: &&Peer| now.since(peer.heard_at) > SILENT_AFTER;
-        self.known.values().filter(is_silent).count()
+    /// Known entries that have not been heard lately and may still charge teams.
+    ///
+    /// An entry that is cut off from its peers and the store stops to take keys within the bound for withdrawn keys.
+    /// Those that still hear more than half of the entries rely on that after `keys_end`; the others wait until they
+    /// forget their peers, since all of these may be alive together.
+    pub(crate) fn silent(&self, keys_end: Duration, now: Moment) -> usize {
+        let silences = self.known.values().map(|peer| now.since(peer.heard_at));
+        let silences: Vec<_> = silences.filter(|silence| *silence > SILENT_AFTER).collect();
+        let heard = self.count() - silences.len();
+        if heard * 2 > self.count() {
+            silences
+                .iter()
+                .filter(|silence| **silence <= keys_end)
+                .count()
+        } else {
+            silences.len()
+        }
     }
 
     /// Tells the peers of a request that an endpoint broke off.
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -23,6 +23,9 @@
 /// When a caller may come back that was refused for a state which passes soon.
 pub(crate) const SOON: Duration = Duration::from_millis(500);
 
+/// Largest body of a request that is refused by its head and yet read.
+const MAX_REFUSED_BODY_BYTES: usize = 256 * 1024;
+
 /// A request that was admitted.
 pub(crate) struct Admitted {
     pub(crate) method: Method,
@@ -93,6 +96,7 @@
     let id = facts.request_id.clone();
     let id = id.as_deref().unwrap_or("none");
     let answered = serve(&entry, parts, body, facts, arrived_at).await;
+    let is_refused = answered.is_err();
     let mut response = match answered {
         Ok(response) => response,
         Err(refusal) => {
@@ -107,7 +111,8 @@
             refusal.response()
         }
     };
-    if entry.is_leaving() {
+    // A refused caller comes back over another connection; its old one would only cost memory.
+    if is_refused || entry.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -122,17 +127,22 @@
     arrived_at: Moment,
 ) -> Result<Response<BoxedBody>, Refusal> {
     let guard = entry.begin_request();
+    let head = admit_head(entry, &parts, &facts);
+    let max_body_bytes = match &head {
+        Ok(head) => head.configuration.limits.max_body_bytes,
+        Err(_) => MAX_REFUSED_BODY_BYTES,
+    };
+    // A refusal waits for the body too: closing a connection with unread bytes would reset it.
+    let body = collect_body(body, max_body_bytes).await;
     let HeadFacts {
         configuration,
         route,
         team,
-    } = admit_head(entry, &parts, &facts)?;
+    } = head?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut fingerprint = Xxh3::new();
     fingerprint.update(path.as_bytes());
     fingerprint.update(facts.key.as_deref().unwrap_or_default().as_bytes());
-    let max_body_bytes = configuration.limits.max_body_bytes;
-    let body = collect_body(body, max_body_bytes).await;
     let body = body.ok_or_else(|| {
         Refusal::caller_error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large_or_broken")
     })?;
