--- a/crates/camphorwall-direct/src/charge.rs
+++ b/crates/camphorwall-direct/src/charge.rs
@@ -57,7 +57,7 @@
             Offer::Wait(ticket, wait) => {
                 wait_for_tokens(entry, &team, ticket, wait, now + patience).await?;
             }
-            Offer::Refused(retry_after) => return Err(Refusal::over_quota(retry_after)),
+            Offer::Refused(retry_after) => return Err(over_quota(entry, &team, retry_after)),
         }
         charge.team = Some(team);
         Ok(charge)
@@ -83,6 +83,17 @@
     }
 }
 
+fn over_quota(entry: &Entry, team: &Team, retry_after: Duration) -> Refusal {
+    tracing::info!(
+        event = "over_quota",
+        team = %team.name,
+        level = entry.quotas.borrow().level(&team.name),
+        rate_per_s = team.rate_per_s,
+        burst = team.burst,
+    );
+    Refusal::over_quota(retry_after)
+}
+
 /// Waits until a request's tokens are there, at most until a moment.
 async fn wait_for_tokens(
     entry: &Entry,
@@ -100,7 +111,7 @@
     loop {
         let left = until.since(Moment::now());
         if left.is_zero() {
-            return Err(Refusal::over_quota(wait));
+            return Err(over_quota(entry, team, wait));
         }
         // Requests before this one may leave, so the forecast is looked at again meanwhile.
         compio::time::sleep(wait.min(LOOK_PERIOD).min(left)).await;
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -2,11 +2,10 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use camphorwall::TeamId;
 use compio::net::UdpSocket;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint};
+use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint, quota::ToldAccount};
 
 /// Time between two words to a peer. Placements of other entries are unknown for about this long.
 const WORD_PERIOD: Duration = Duration::from_millis(40);
@@ -35,7 +34,7 @@
     incarnation: u64,
     is_leaving: bool,
     peers: Vec<SocketAddr>,
-    charges: Vec<(TeamId, f64)>,
+    accounts: Vec<ToldAccount>,
     work: Vec<(u64, Run)>,
     /// Requests that an endpoint broke off: a number that grows, and the fingerprint.
     breaks: Vec<(u64, u64)>,
@@ -144,10 +143,7 @@
             incarnation: peers.incarnation,
             is_leaving: entry.is_leaving(),
             peers: addresses.iter().copied().take(MAX_TOLD_PEERS).collect(),
-            charges: quotas
-                .charged()
-                .map(|(team, charged)| (team.clone(), charged))
-                .collect(),
+            accounts: quotas.told(),
             work: entry.loads.borrow().own(),
             breaks: peers.breaks(),
         };
@@ -226,7 +222,7 @@
         }
     }
     let mut quotas = entry.quotas.borrow_mut();
-    quotas.note_peer(word.incarnation, &word.charges);
+    quotas.note_peer(word.incarnation, word.accounts);
     let mut loads = entry.loads.borrow_mut();
     loads.note_peer(word.incarnation, word.work);
     entry.placed.changed();
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -10,6 +10,7 @@
 };
 
 use camphorwall::TeamId;
+use serde::{Deserialize, Serialize};
 
 use crate::{clock::Moment, configuration::Team};
 
@@ -40,6 +41,16 @@
     cost: f64,
 }
 
+/// What an entry tells its peers of one team.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct ToldAccount {
+    team: TeamId,
+    /// Charges of the entry since it started, less what it gave back.
+    charged: f64,
+    /// Tokens that the team has left, as far as the entry knows.
+    level: f64,
+}
+
 /// Charges of one team.
 #[derive(Debug)]
 struct Account {
@@ -87,6 +98,8 @@
     accounts: HashMap<TeamId, Account>,
     /// Sums of charges that peers told, by peer and team.
     told: HashMap<u64, HashMap<TeamId, f64>>,
+    /// Levels that peers told of teams without an account here.
+    told_levels: HashMap<TeamId, f64>,
     next_ticket: u64,
 }
 
@@ -98,8 +111,9 @@
 
 impl Quotas {
     fn account(&mut self, team: &Team, rate_per_s: f64, share: f64, now: Moment) -> &mut Account {
+        let told_level = self.told_levels.remove(&team.name);
         let fresh = || Account {
-            level: team.burst,
+            level: told_level.map_or(team.burst, |level| level.min(team.burst)),
             rate_per_s,
             burst: team.burst,
             updated_at: now,
@@ -200,23 +214,35 @@
         }
     }
 
-    /// This entry's charges by team, for its peers.
-    pub(crate) fn charged(&self) -> impl Iterator<Item = (&TeamId, f64)> {
-        self.accounts
-            .iter()
-            .map(|(team, account)| (team, account.charged))
+    /// This entry's accounts, for its peers.
+    pub(crate) fn told(&self) -> Vec<ToldAccount> {
+        let told = |(team, account): (&TeamId, &Account)| ToldAccount {
+            team: team.clone(),
+            charged: account.charged,
+            level: account.level,
+        };
+        self.accounts.iter().map(told).collect()
+    }
+
+    /// Tokens that a team has left, as far as this entry knows.
+    pub(crate) fn level(&self, team: &TeamId) -> Option<f64> {
+        self.accounts.get(team).map(|account| account.level)
     }
 
-    /// Takes over what a peer has charged since it started.
-    pub(crate) fn note_peer(&mut self, incarnation: u64, charges: &[(TeamId, f64)]) {
+    /// Takes over what a peer has charged. Its first word sets what later ones are compared with, and a level that
+    /// the own one must not exceed: this entry may be new among entries that have charged for long.
+    pub(crate) fn note_peer(&mut self, incarnation: u64, accounts: Vec<ToldAccount>) {
         let told = self.told.entry(incarnation).or_default();
-        for (team, charged) in charges {
-            let before = told.insert(team.clone(), *charged);
-            // Without an own request of the team its account is full here; what peers charge counts from the first
-            // own request on.
-            if let Some(account) = self.accounts.get_mut(team) {
-                let since = charged - before.unwrap_or(0.0);
-                account.level = (account.level - since).min(account.burst);
+        for peer in accounts {
+            let before = told.insert(peer.team.clone(), peer.charged);
+            match (self.accounts.get_mut(&peer.team), before) {
+                (Some(account), Some(before)) => {
+                    account.level = (account.level - (peer.charged - before)).min(account.burst);
+                }
+                (Some(account), None) => account.level = account.level.min(peer.level),
+                (None, _) => {
+                    self.told_levels.insert(peer.team, peer.level);
+                }
             }
         }
     }
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -106,6 +106,7 @@
                 request_id = id,
                 status = refusal.status.as_u16(),
                 reason = refusal.reason,
+                retry_after_ms = refusal.retry_after.map(|after| after.as_secs_f64() * 1e3),
                 elapsed_ms,
             );
             refusal.response()
