--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     clock::Moment,
+    configuration::RouteKind,
     dialect::Dialect,
     follow,
     loads::Loads,
@@ -41,6 +42,9 @@
 /// probes, one a second.
 const LEAVE_GRACE: Duration = Duration::from_millis(2_600);
 
+/// Longest time that a request which is no stream usually takes.
+const SHORT_REQUEST: Duration = Duration::from_secs(2);
+
 /// Part of the time to stop that is left for the process's own end.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
@@ -99,7 +103,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Serving,
+    /// Callers are guided away.
     Leaving,
+    /// Streams are refused.
+    Ending,
+    /// All requests are refused.
     Refusing,
 }
 
@@ -177,9 +185,13 @@
         self.phase.get() != Phase::Serving
     }
 
-    /// Whether new requests are refused.
-    pub(crate) fn is_refusing(&self) -> bool {
-        self.phase.get() == Phase::Refusing
+    /// Whether a new request is refused because its answer may outlast the process.
+    pub(crate) fn is_refusing(&self, kind: RouteKind) -> bool {
+        match (self.phase.get(), kind) {
+            (Phase::Serving | Phase::Leaving, _) => false,
+            (Phase::Ending, kind) => matches!(kind, RouteKind::Stream { .. }),
+            (Phase::Refusing, _) => true,
+        }
     }
 
     /// Takes a repeat from this entry's part of the fleet's budget.
@@ -233,10 +245,14 @@
         let deadline = Moment::now() + self.settings.bounds.shutdown().saturating_sub(EXIT_MARGIN);
         self.phase.set(Phase::Leaving);
         compio::time::sleep(LEAVE_GRACE).await;
-        self.phase.set(Phase::Refusing);
+        self.phase.set(Phase::Ending);
         while self.active.get() > 0 && Moment::now() < deadline {
+            if Moment::now() + SHORT_REQUEST >= deadline {
+                self.phase.set(Phase::Refusing);
+            }
             compio::time::sleep(DRAIN_PERIOD).await;
         }
+        self.phase.set(Phase::Refusing);
     }
 }
 
@@ -278,7 +294,7 @@
     background.spawn(follow::follow_endpoints(Rc::clone(&entry)));
     background.spawn(placing::give_places(Rc::clone(&entry)));
     background.spawn(peers::send_words(Rc::clone(&entry), socket.clone()));
-    background.spawn(peers::receive_words(Rc::clone(&entry), socket));
+    background.spawn(peers::receive_words(Rc::clone(&entry), socket.clone()));
     let (stop, stopped) = stop_pair();
     let servers = TaskGroup::default();
     let caller_server = HttpServer {
@@ -309,6 +325,7 @@
     tracing::info!(event = "stopping", requests = entry.active.get());
     entry.leave().await;
     stop.stop();
+    peers::say_goodbye(&entry, &socket).await;
     let joined = compio::time::timeout(EXIT_MARGIN / 2, servers.join()).await;
     tracing::info!(
         event = "stopped",
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -25,6 +25,9 @@
 /// Most addresses of peers in a word.
 const MAX_TOLD_PEERS: usize = 16;
 
+/// How often an entry says goodbye: words may be lost.
+const GOODBYES: u32 = 3;
+
 /// How often a broken request is told: words may be lost.
 const BREAK_TELLS: u32 = 3;
 
@@ -32,7 +35,8 @@
 #[derive(Debug, Deserialize, Serialize)]
 struct Word {
     incarnation: u64,
-    is_leaving: bool,
+    /// Whether this is the last word: the entry's work has ended.
+    is_ending: bool,
     peers: Vec<SocketAddr>,
     accounts: Vec<ToldAccount>,
     work: Vec<(u64, Run)>,
@@ -53,6 +57,8 @@
 pub(crate) struct Peers {
     incarnation: u64,
     known: HashMap<SocketAddr, Peer>,
+    /// Incarnations that said goodbye, and when; others may still tell their addresses.
+    ended: HashMap<SocketAddr, (u64, Moment)>,
     last_break: u64,
     untold: Vec<(u64, Fingerprint, u32)>,
 }
@@ -76,6 +82,7 @@
         Self {
             incarnation,
             known: addresses.map(peer).collect(),
+            ended: HashMap::new(),
             last_break: 0,
             untold: Vec::new(),
         }
@@ -112,6 +119,31 @@
             .push((self.last_break, fingerprint, BREAK_TELLS));
     }
 
+    /// Addresses of peers that were heard lately. The others are not told, or entries would keep one that has ended
+    /// alive by telling each other.
+    fn heard(&self, now: Moment) -> Vec<SocketAddr> {
+        let is_heard = |(_, peer): &(&SocketAddr, &Peer)| {
+            peer.incarnation.is_some() && now.since(peer.heard_at) <= SILENT_AFTER
+        };
+        let heard = self.known.iter().filter(is_heard);
+        heard
+            .map(|(address, _)| *address)
+            .take(MAX_TOLD_PEERS)
+            .collect()
+    }
+
+    /// Forgets a peer that said goodbye.
+    fn end(&mut self, entry: &Entry, address: SocketAddr, incarnation: u64, now: Moment) {
+        self.ended.insert(address, (incarnation, now));
+        let is_same = |peer: &Peer| peer.incarnation == Some(incarnation);
+        if self.known.get(&address).is_some_and(is_same) {
+            tracing::info!(event = "peer_ended", %address);
+            self.known.remove(&address);
+            entry.quotas.borrow_mut().forget_peer(incarnation);
+            entry.loads.borrow_mut().forget_peer(incarnation);
+        }
+    }
+
     fn breaks(&mut self) -> Vec<(u64, u64)> {
         let told = self.untold.iter();
         let told = told
@@ -128,21 +160,28 @@
 /// Sends words until the entry's tasks are dropped.
 pub(crate) async fn send_words(entry: Rc<Entry>, socket: UdpSocket) {
     loop {
-        send_word(&entry, &socket).await;
+        send_word(&entry, &socket, false).await;
         compio::time::sleep(WORD_PERIOD).await;
         forget_ended(&entry);
     }
 }
 
-async fn send_word(entry: &Entry, socket: &UdpSocket) {
+/// Tells the peers that this entry's work has ended.
+pub(crate) async fn say_goodbye(entry: &Entry, socket: &UdpSocket) {
+    for _ in 0..GOODBYES {
+        send_word(entry, socket, true).await;
+    }
+}
+
+async fn send_word(entry: &Entry, socket: &UdpSocket, is_ending: bool) {
     let (addresses, word) = {
         let mut peers = entry.peers.borrow_mut();
         let addresses: Vec<_> = peers.known.keys().copied().collect();
         let quotas = entry.quotas.borrow();
         let word = Word {
             incarnation: peers.incarnation,
-            is_leaving: entry.is_leaving(),
-            peers: addresses.iter().copied().take(MAX_TOLD_PEERS).collect(),
+            is_ending,
+            peers: peers.heard(Moment::now()),
             accounts: quotas.told(),
             work: entry.loads.borrow().own(),
             breaks: peers.breaks(),
@@ -187,10 +226,20 @@
     if word.incarnation == peers.incarnation {
         return;
     }
+    if word.is_ending {
+        peers.end(entry, from, word.incarnation, now);
+        return;
+    }
+    let ended = peers.ended.get(&from);
+    if ended.is_some_and(|(incarnation, _)| *incarnation == word.incarnation) {
+        return;
+    }
+    peers.ended.remove(&from);
     let own = entry.settings.peer_address;
     for address in word.peers {
         // Told addresses count as known from now on, but not as heard.
-        if address != own && address.port() == own.port() && !peers.known.contains_key(&address) {
+        let is_new = !peers.known.contains_key(&address) && !peers.ended.contains_key(&address);
+        if address != own && address.port() == own.port() && is_new {
             let heard_at = now;
             let peer = Peer {
                 incarnation: None,
@@ -231,6 +280,9 @@
 fn forget_ended(entry: &Entry) {
     let now = Moment::now();
     let mut peers = entry.peers.borrow_mut();
+    peers
+        .ended
+        .retain(|_, (_, at)| now.since(*at) <= ENDED_AFTER);
     peers.known.retain(|address, peer| {
         let silence = now.since(peer.heard_at);
         if let Some(incarnation) = peer.incarnation
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -207,9 +207,6 @@
             "two_lengths",
         ));
     }
-    if entry.is_refusing() {
-        return Err(Refusal::not_run("stopping", Duration::ZERO));
-    }
     let registry = entry.registry.borrow();
     let configuration = registry.configuration().cloned();
     let configuration = configuration.ok_or_else(|| Refusal::not_run("no_configuration", SOON))?;
@@ -217,6 +214,9 @@
     let Some(route) = route else {
         return Err(Refusal::caller_error(StatusCode::NOT_FOUND, "no_route"));
     };
+    if entry.is_refusing(route.kind) {
+        return Err(Refusal::not_run("stopping", Duration::ZERO));
+    }
     if route.is_open || !configuration.has_teams {
         return Ok(HeadFacts {
             configuration,
