Judge endpoints by what they do; confirm crashes; offer a KV cache twice; pass large answers on as they come

Cause: a lost answer counted as a crash and made its endpoint be passed over, and each refused decode cost another prefill.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Moment,
-    configuration::RouteKind,
+    configuration::{Endpoint, RouteKind},
     dialect::Dialect,
     follow,
     loads::Loads,
@@ -30,6 +30,7 @@
     retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
     suspicion::Suspicions,
+    upstream::Connection,
 };
 
 /// Longest idle time of a caller's connection. Callers close earlier.
@@ -52,6 +53,9 @@
 /// then has been sent.
 const PEER_MARGIN: Duration = Duration::from_secs(1);
 
+/// Pause before an endpoint that broke off a request is asked whether it still runs.
+const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(20);
+
 /// How often a leaving entry looks whether its work has ended.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
@@ -208,11 +212,28 @@
         usable_share(peers.count(), peers.silent(keys_end, now))
     }
 
-    /// Notes that an endpoint broke off while it ran a request, and tells the peers.
-    pub(crate) fn note_break(&self, fingerprint: Fingerprint) {
+    /// Looks whether an endpoint that broke off a request has crashed: a lost answer or a reset connection leaves it
+    /// running.
+    pub(crate) fn check_for_crash(self: &Rc<Self>, endpoint: &Endpoint, fingerprint: Fingerprint) {
+        let entry = Rc::clone(self);
+        let (id, address) = (endpoint.id.clone(), endpoint.address);
+        self.tasks.spawn(async move {
+            compio::time::sleep(CRASH_CHECK_PAUSE).await;
+            if Connection::open(address).await.is_ok() {
+                return;
+            }
+            let now = Moment::now();
+            tracing::info!(event = "endpoint_crashed", endpoint = %id, fingerprint = fingerprint.0);
+            entry.suspicions.borrow_mut().note_unreachable(&id, now);
+            entry.note_crash(fingerprint);
+        });
+    }
+
+    /// Notes that an endpoint crashed while it ran a request, and tells the peers.
+    fn note_crash(&self, fingerprint: Fingerprint) {
         let now = Moment::now();
-        let count = self.poison.borrow_mut().note_break(fingerprint, now);
-        self.peers.borrow_mut().tell_break(fingerprint);
+        let count = self.poison.borrow_mut().note_crash(fingerprint, now);
+        self.peers.borrow_mut().tell_crash(fingerprint);
         if self.poison.borrow().is_blocked(fingerprint, now) {
             tracing::warn!(
                 event = "request_blocked",
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/loads.rs
@@ -12,7 +12,7 @@
 }
 
 /// One request at an endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct Run {
     /// Tokens in the endpoint's memory now, or to prefill.
     pub held_tokens: u32,
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -37,21 +37,19 @@
     let answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
-            entry
-                .suspicions
-                .borrow_mut()
-                .note_failure(&endpoint.id, now);
-            let is_not_sent = matches!(error, SendError::NotSent { .. });
             tracing::info!(
                 event = "attempt_failed",
                 request_id = admitted.id(),
                 endpoint = %endpoint.id,
                 %error,
             );
-            if is_not_sent {
+            let mut suspicions = entry.suspicions.borrow_mut();
+            if matches!(error, SendError::NotSent { .. }) {
+                suspicions.note_unreachable(&endpoint.id, now);
                 return Outcome::NotSent;
             }
-            entry.note_break(admitted.fingerprint);
+            suspicions.note_failure(&endpoint.id, now);
+            entry.check_for_crash(endpoint, admitted.fingerprint);
             return Outcome::Lost;
         }
     };
@@ -80,10 +78,17 @@
             is_own,
             is_signed = facts.is_signed,
         );
+        entry
+            .suspicions
+            .borrow_mut()
+            .note_failure(&endpoint.id, now);
         return Outcome::Lost;
     }
-    if is_success {
-        entry.suspicions.borrow_mut().note_answer(&endpoint.id);
+    if answer.parts.status.is_server_error() {
+        entry
+            .suspicions
+            .borrow_mut()
+            .note_failure(&endpoint.id, now);
     }
     Outcome::Answered(answer)
 }
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -1,4 +1,4 @@
-//! Entries tell each other, in one datagram each few milliseconds, what they charged, placed and saw break.
+//! Entries tell each other, in one datagram each few milliseconds, what they charged, placed and saw crash.
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -28,8 +28,8 @@
 /// How often an entry says goodbye: words may be lost.
 const GOODBYES: u32 = 3;
 
-/// How often a broken request is told: words may be lost.
-const BREAK_TELLS: u32 = 3;
+/// How often a crash is told: words may be lost.
+const CRASH_TELLS: u32 = 3;
 
 /// What an entry tells its peers.
 #[derive(Debug, Deserialize, Serialize)]
@@ -40,8 +40,8 @@
     peers: Vec<SocketAddr>,
     accounts: Vec<ToldAccount>,
     work: Vec<(u64, Run)>,
-    /// Requests that an endpoint broke off: a number that grows, and the fingerprint.
-    breaks: Vec<(u64, u64)>,
+    /// Requests during which an endpoint crashed: a number that grows, and the fingerprint.
+    crashes: Vec<(u64, u64)>,
 }
 
 #[derive(Debug)]
@@ -49,7 +49,7 @@
     incarnation: Option<u64>,
     /// Last word, or when the address became known.
     heard_at: Moment,
-    last_break: u64,
+    last_crash: u64,
 }
 
 /// Known entries, by the address that they send from.
@@ -59,7 +59,7 @@
     known: HashMap<SocketAddr, Peer>,
     /// Incarnations that said goodbye, and when; others may still tell their addresses.
     ended: HashMap<SocketAddr, (u64, Moment)>,
-    last_break: u64,
+    last_crash: u64,
     untold: Vec<(u64, Fingerprint, u32)>,
 }
 
@@ -75,7 +75,7 @@
             let peer = Peer {
                 incarnation: None,
                 heard_at: now,
-                last_break: 0,
+                last_crash: 0,
             };
             (address, peer)
         };
@@ -83,7 +83,7 @@
             incarnation,
             known: addresses.map(peer).collect(),
             ended: HashMap::new(),
-            last_break: 0,
+            last_crash: 0,
             untold: Vec::new(),
         }
     }
@@ -112,11 +112,11 @@
         }
     }
 
-    /// Tells the peers of a request that an endpoint broke off.
-    pub(crate) fn tell_break(&mut self, fingerprint: Fingerprint) {
-        self.last_break += 1;
+    /// Tells the peers of a request during which an endpoint crashed.
+    pub(crate) fn tell_crash(&mut self, fingerprint: Fingerprint) {
+        self.last_crash += 1;
         self.untold
-            .push((self.last_break, fingerprint, BREAK_TELLS));
+            .push((self.last_crash, fingerprint, CRASH_TELLS));
     }
 
     /// Addresses of peers that were heard lately. The others are not told, or entries would keep one that has ended
@@ -144,7 +144,7 @@
         }
     }
 
-    fn breaks(&mut self) -> Vec<(u64, u64)> {
+    fn crashes(&mut self) -> Vec<(u64, u64)> {
         let told = self.untold.iter();
         let told = told
             .map(|(number, fingerprint, _)| (*number, fingerprint.0))
@@ -184,7 +184,7 @@
             peers: peers.heard(Moment::now()),
             accounts: quotas.told(),
             work: entry.loads.borrow().own(),
-            breaks: peers.breaks(),
+            crashes: peers.crashes(),
         };
         (addresses, word)
     };
@@ -244,7 +244,7 @@
             let peer = Peer {
                 incarnation: None,
                 heard_at,
-                last_break: 0,
+                last_crash: 0,
             };
             peers.known.insert(address, peer);
         }
@@ -252,7 +252,7 @@
     let peer = peers.known.entry(from).or_insert(Peer {
         incarnation: None,
         heard_at: now,
-        last_break: 0,
+        last_crash: 0,
     });
     peer.heard_at = now;
     if peer.incarnation != Some(word.incarnation) {
@@ -261,13 +261,13 @@
             entry.quotas.borrow_mut().forget_peer(ended);
             entry.loads.borrow_mut().forget_peer(ended);
         }
-        peer.last_break = 0;
+        peer.last_crash = 0;
     }
-    for (number, fingerprint) in word.breaks {
-        if number > peer.last_break {
-            peer.last_break = number;
+    for (number, fingerprint) in word.crashes {
+        if number > peer.last_crash {
+            peer.last_crash = number;
             let fingerprint = Fingerprint(fingerprint);
-            entry.poison.borrow_mut().note_break(fingerprint, now);
+            entry.poison.borrow_mut().note_crash(fingerprint, now);
         }
     }
     let mut quotas = entry.quotas.borrow_mut();
--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -193,7 +193,8 @@
             runs: loads.at(&endpoint.id),
             slots: endpoint.slots,
             is_near: endpoint.data_centre == *near,
-            is_suspect: suspicions.is_suspect(&endpoint.id, now),
+            is_unreachable: suspicions.is_unreachable(&endpoint.id, now),
+            failure_share: suspicions.failure_share(&endpoint.id, now),
         })
         .collect();
     (endpoints, candidates)
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -1,33 +1,39 @@
-//! Serves a request of a plain service.
+//! Serves a request whose answer is no stream.
 
-use std::rc::Rc;
+use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, full_body};
+use camphorwall::{BoxedBody, EndpointId, full_body, stream_body};
+use futures_util::stream;
+use http::header;
 use hyper::Response;
 
 use crate::{
     choice::choose_plain,
     clock::Moment,
-    configuration::{Endpoint, RouteKind, Stage},
-    entry::Entry,
+    configuration::{Endpoint, Stage},
+    entry::{Entry, remove_connection_headers},
     loads::Run,
     outcome::{Outcome, attempt},
     placing::{Place, candidates},
     refusal::Refusal,
     request::{Admitted, SOON},
+    upstream::{Answer, AnswerBody},
 };
 
-/// Largest answer that is read whole before it is passed on.
-const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Largest answer that is read whole before it is passed on. A larger one can't be replaced when it breaks off.
+const MAX_WHOLE_BYTES: usize = 256 * 1024;
 
 /// Sends after refusals that one request may cause.
 const MAX_REFUSALS: u32 = 2;
 
+/// Times its target after which an attempt that can be repeated is given up.
+const SLOW_FACTOR: u32 = 2;
+
 /// Attempts of one request so far.
 #[derive(Default)]
 struct Progress {
-    tried: Vec<camphorwall::EndpointId>,
+    tried: Vec<EndpointId>,
     /// Attempts that may have run.
     runs: u32,
     refusals: u32,
@@ -38,13 +44,17 @@
     entry: &Rc<Entry>,
     admitted: Admitted,
 ) -> Result<Response<BoxedBody>, Refusal> {
+    let admitted = Rc::new(admitted);
     let mut progress = Progress::default();
     let serving = try_endpoints(entry, &admitted, &mut progress);
     let result = compio::time::timeout(admitted.time_left(), serving).await;
     result.unwrap_or_else(|_| {
         if let Some(endpoint) = progress.tried.last() {
             let now = Moment::now();
-            entry.suspicions.borrow_mut().note_failure(endpoint, now);
+            entry
+                .suspicions
+                .borrow_mut()
+                .note_unreachable(endpoint, now);
         }
         Err(Refusal::timed_out())
     })
@@ -52,7 +62,7 @@
 
 async fn try_endpoints(
     entry: &Rc<Entry>,
-    admitted: &Admitted,
+    admitted: &Rc<Admitted>,
     progress: &mut Progress,
 ) -> Result<Response<BoxedBody>, Refusal> {
     let may_repeat = admitted.route.kind.may_repeat();
@@ -61,25 +71,20 @@
             return Err(give_up(progress, "no_endpoint"));
         };
         progress.tried.push(endpoint.id.clone());
-        let place = Place::take(
-            entry,
-            Rc::clone(&endpoint),
-            Run {
-                held_tokens: 0,
-                left_tokens: 0,
-            },
-        );
-        let request = admitted.to_endpoint(entry, &endpoint, Stage::Whole, None, None);
+        let place = Place::take(entry, Rc::clone(&endpoint), Run::default());
         // Until the endpoint says otherwise, what was sent may have run.
         progress.runs += 1;
         admitted.charge.note(true);
-        let outcome = attempt(entry, admitted, &endpoint, request).await;
-        let failed = match outcome {
+        let can_repeat = may_repeat && progress.runs < admitted.route.max_attempts;
+        let outcome = if can_repeat {
+            attempt_shortly(entry, admitted, &endpoint).await
+        } else {
+            attempt_once(entry, admitted, &endpoint).await
+        };
+        let failure = match outcome {
             Outcome::Answered(answer) => {
                 let is_failure = answer.parts.status.is_server_error();
-                let delivered = deliver(entry, admitted, answer).await;
-                let can_repeat = may_repeat && progress.runs < admitted.route.max_attempts;
-                match delivered {
+                match deliver(entry, admitted, place, answer).await {
                     Ok(response) if is_failure && can_repeat => Some(response),
                     Ok(response) => return Ok(response),
                     Err(_) => None,
@@ -87,9 +92,9 @@
             }
             Outcome::NotRun => {
                 progress.runs -= 1;
-                admitted.charge.note(progress.runs > 0);
                 progress.refusals += 1;
-                if progress.refusals > MAX_REFUSALS || !take_retry(entry, admitted) {
+                admitted.charge.note(progress.runs > 0);
+                if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
                     return Err(give_up(progress, "endpoints_full"));
                 }
                 continue;
@@ -101,15 +106,38 @@
             }
             Outcome::Lost => None,
         };
-        drop(place);
-        let can_repeat = may_repeat && progress.runs < admitted.route.max_attempts;
-        if can_repeat && take_retry(entry, admitted) {
-            continue;
+        if !can_repeat || !entry.take_retry(&admitted.service) {
+            return failure.ok_or_else(|| Refusal::may_have_run("no_whole_answer"));
         }
-        return failed.ok_or_else(|| Refusal::may_have_run("no_whole_answer"));
+        tracing::debug!(
+            event = "sent_again",
+            request_id = admitted.id(),
+            runs = progress.runs
+        );
     }
 }
 
+async fn attempt_once(entry: &Rc<Entry>, admitted: &Admitted, endpoint: &Endpoint) -> Outcome {
+    let request = admitted.to_endpoint(entry, endpoint, Stage::Whole, None, None);
+    attempt(entry, admitted, endpoint, request).await
+}
+
+/// Gives an attempt up that takes far longer than the target, so that another endpoint can answer in time.
+async fn attempt_shortly(entry: &Rc<Entry>, admitted: &Admitted, endpoint: &Endpoint) -> Outcome {
+    let patience = Duration::from_millis(admitted.route.target_ms) * SLOW_FACTOR;
+    let attempting = attempt_once(entry, admitted, endpoint);
+    let outcome = compio::time::timeout(patience, attempting).await;
+    outcome.unwrap_or_else(|_| {
+        tracing::info!(event = "attempt_slow", request_id = admitted.id(), endpoint = %endpoint.id);
+        let now = Moment::now();
+        entry
+            .suspicions
+            .borrow_mut()
+            .note_unreachable(&endpoint.id, now);
+        Outcome::Lost
+    })
+}
+
 /// A refusal after which nothing more is sent.
 fn give_up(progress: &Progress, reason: &'static str) -> Refusal {
     if progress.runs > 0 {
@@ -119,46 +147,68 @@
     }
 }
 
-fn take_retry(entry: &Entry, admitted: &Admitted) -> bool {
-    let is_taken = entry.take_retry(&admitted.service);
-    tracing::debug!(event = "retry", request_id = admitted.id(), is_taken);
-    is_taken
-}
-
 fn next_endpoint(entry: &Entry, admitted: &Admitted, progress: &Progress) -> Option<Rc<Endpoint>> {
-    let stage = match admitted.route.kind {
-        RouteKind::Stream { .. } if admitted.service_facts.engine.is_some() => Stage::Decode,
-        _ => Stage::Whole,
-    };
     let near = &entry.settings.data_centre;
+    let stage = admitted.stage();
     let (endpoints, candidates) =
         candidates(entry, &admitted.service, stage, near, &progress.tried);
     choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
 }
 
-/// Reads an answer whole, so that one that breaks off can be replaced.
+/// Reads an answer whole, so that one that breaks off can be replaced; passes a large one on as it comes.
 async fn deliver(
     entry: &Entry,
-    admitted: &Admitted,
-    answer: crate::upstream::Answer,
-) -> std::io::Result<Response<BoxedBody>> {
-    let crate::upstream::Answer {
+    admitted: &Rc<Admitted>,
+    place: Place,
+    answer: Answer,
+) -> io::Result<Response<BoxedBody>> {
+    let Answer {
         mut parts,
         mut body,
     } = answer;
-    let bytes: Bytes = body.collect(MAX_ANSWER_BYTES).await.inspect_err(|error| {
-        tracing::info!(event = "answer_broke", request_id = admitted.id(), %error);
+    let now = Moment::now();
+    let endpoint = place.endpoint.id.clone();
+    let begun = body.begin(MAX_WHOLE_BYTES).await.inspect_err(|error| {
+        tracing::info!(event = "answer_broke", request_id = admitted.id(), %endpoint, %error);
+        entry.suspicions.borrow_mut().note_failure(&endpoint, now);
     })?;
-    crate::entry::remove_connection_headers(&mut parts.headers);
-    parts.headers.remove(http::header::CONTENT_LENGTH);
+    if !parts.status.is_server_error() {
+        entry.suspicions.borrow_mut().note_success(&endpoint, now);
+        entry.poison.borrow_mut().note_answer(admitted.fingerprint);
+    }
+    remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
     let elapsed_ms = Moment::now().since(admitted.arrived_at).as_millis();
     tracing::debug!(
         event = "answered",
         request_id = admitted.id(),
+        %endpoint,
         status = parts.status.as_u16(),
-        elapsed_ms
+        elapsed_ms,
     );
-    let _ = entry;
-    Ok(Response::from_parts(parts, full_body(bytes)))
+    if begun.is_whole {
+        parts.headers.remove(header::CONTENT_LENGTH);
+        return Ok(Response::from_parts(parts, full_body(begun.bytes)));
+    }
+    let rest = rest(begun.bytes, body, place, Rc::clone(admitted));
+    Ok(Response::from_parts(parts, stream_body(rest)))
+}
+
+/// The beginning of an answer and what still comes of it.
+fn rest(
+    begun: Bytes,
+    body: AnswerBody,
+    place: Place,
+    admitted: Rc<Admitted>,
+) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
+    let held = (Some(begun), body, place, admitted);
+    stream::unfold(held, |(begun, mut body, place, admitted)| async move {
+        if let Some(bytes) = begun {
+            return Some((Ok(bytes), (None, body, place, admitted)));
+        }
+        let next = compio::time::timeout(admitted.time_left(), body.next()).await;
+        let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let chunk = next.transpose()?;
+        Some((chunk, (None, body, place, admitted)))
+    })
 }
--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -4,10 +4,10 @@
 
 use crate::clock::Moment;
 
-/// Broken attempts of one request after which it is sent no more.
+/// Crashes during one request after which it is sent no more.
 const LIMIT: u32 = 3;
 
-/// How long a request is remembered after its last broken attempt.
+/// How long a request is remembered after its last crash.
 const MEMORY: Duration = Duration::from_secs(60);
 
 /// Most requests that are remembered.
@@ -17,13 +17,13 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct Fingerprint(pub u64);
 
-/// Requests whose attempts broke.
+/// Requests during which endpoints crashed.
 #[derive(Debug, Default)]
 pub(crate) struct Poison(HashMap<Fingerprint, (u32, Moment)>);
 
 impl Poison {
-    /// Notes that an endpoint broke off while it ran the request.
-    pub(crate) fn note_break(&mut self, fingerprint: Fingerprint, now: Moment) -> u32 {
+    /// Notes that an endpoint crashed while it ran the request; returns how many have.
+    pub(crate) fn note_crash(&mut self, fingerprint: Fingerprint, now: Moment) -> u32 {
         if self.0.len() >= MAX_REMEMBERED {
             self.0.retain(|_, (_, at)| now.since(*at) < MEMORY / 4);
         }
@@ -36,6 +36,11 @@
         *count
     }
 
+    /// Notes that the request was answered whole: another one crashed the endpoints that it had been at.
+    pub(crate) fn note_answer(&mut self, fingerprint: Fingerprint) {
+        self.0.remove(&fingerprint);
+    }
+
     /// Whether the request must not be sent.
     #[must_use]
     pub(crate) fn is_blocked(&self, fingerprint: Fingerprint, now: Moment) -> bool {
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -82,6 +82,15 @@
         request
     }
 
+    /// What an endpoint does of the work when it answers the caller.
+    pub(crate) fn stage(&self) -> Stage {
+        if self.service_facts.engine.is_some() {
+            Stage::Decode
+        } else {
+            Stage::Whole
+        }
+    }
+
     /// Name for logs.
     pub(crate) fn id(&self) -> &str {
         self.facts.request_id.as_deref().unwrap_or("none")
@@ -181,10 +190,9 @@
         ends_at: arrived_at + limit,
         _active: guard,
     };
-    let is_model = admitted.service_facts.engine.is_some();
     match admitted.route.kind {
-        RouteKind::Stream { .. } if is_model => stream::serve(entry, admitted).await,
-        _ => plain::serve(entry, admitted).await,
+        RouteKind::Stream { .. } => stream::serve(entry, admitted).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => plain::serve(entry, admitted).await,
     }
 }
 
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -8,9 +8,9 @@
 use hyper::Response;
 
 use crate::{
-    choice::choose_prefill,
+    choice::{choose_plain, choose_prefill},
     clock::Moment,
-    configuration::{Endpoint, EngineLimits, Stage},
+    configuration::{Endpoint, Stage},
     dialect::KvHandle,
     entry::{Entry, remove_connection_headers},
     events::EventSplitter,
@@ -19,7 +19,7 @@
     placing::{Place, PlaceRequest, Rank, candidates},
     refusal::Refusal,
     request::Admitted,
-    upstream::{self, AnswerBody},
+    upstream::{self, Answer, AnswerBody},
 };
 
 /// Time that a prefill and the transfer of its KV cache are expected to take; a place that is given later than this
@@ -29,12 +29,21 @@
 /// Longest time to wait for a place once the answer can't be on time.
 const LATE_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Longest time that a prefill may take; its endpoint is busy for far less.
-const PREFILL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest time that a prefill may take; its endpoint is usually busy for a tenth of it.
+const PREFILL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Most tokens of a prefill's answer that is read.
 const MAX_PREFILL_BYTES: usize = 64 * 1024;
 
+/// Decode endpoints to which one KV cache is offered.
+const MAX_OFFERS: u32 = 2;
+
+/// Age up to which a KV cache is offered once more; engines keep it for a fraction of a second.
+const KV_LIFE: Duration = Duration::from_millis(350);
+
+/// When a caller may come back whose request no endpoint can hold.
+const NEVER: Duration = Duration::from_secs(60);
+
 /// Sends after refusals that one request may cause.
 const MAX_REFUSALS: u32 = 3;
 
@@ -42,6 +51,27 @@
 struct Prefilled {
     endpoint: Rc<Endpoint>,
     handle: KvHandle,
+    read_at: Moment,
+    /// Decode endpoints that refused it.
+    refusals: u32,
+}
+
+impl Prefilled {
+    /// Notes that a decode endpoint refused the request; `None` when the cache is not worth another offer. Whether
+    /// the endpoint was full or the cache was gone isn't told.
+    fn offered_in_vain(mut self, entry: &Rc<Entry>) -> Option<Self> {
+        self.refusals += 1;
+        let now = Moment::now();
+        if self.refusals < MAX_OFFERS && now.since(self.read_at) < KV_LIFE {
+            return Some(self);
+        }
+        if self.refusals >= MAX_OFFERS {
+            let mut suspicions = entry.suspicions.borrow_mut();
+            suspicions.note_failure(&self.endpoint.id, now);
+        }
+        free(entry, Some(self));
+        None
+    }
 }
 
 /// A stream that has begun.
@@ -78,14 +108,6 @@
     Ok(relay(entry, admitted, progress, opened?))
 }
 
-fn engine(admitted: &Admitted) -> EngineLimits {
-    admitted.service_facts.engine.unwrap_or(EngineLimits {
-        slots: 1,
-        kv_capacity_tokens: u64::MAX,
-        event_tokens: 1,
-    })
-}
-
 fn expected_run(admitted: &Admitted, delivered_tokens: u64) -> Run {
     let facts = &admitted.facts;
     let most = facts.max_output_tokens.unwrap_or(u64::from(u32::MAX));
@@ -104,52 +126,45 @@
     progress: &mut Progress,
     last_event_id: Option<u64>,
 ) -> Result<Opened, Refusal> {
-    let mut prefilled = None;
+    let mut prefilled: Option<Prefilled> = None;
     loop {
         let mut place = find_place(entry, admitted, progress, last_event_id).await?;
-        if prefilled.is_none() {
+        if prefilled.is_none() && admitted.service_facts.engine.is_some() {
             prefilled = prefill(entry, admitted, progress, &place.endpoint).await?;
         }
         if !entry.registry.borrow().takes_work(&place.endpoint) {
+            // It began to leave while the prompt was read.
             progress.excluded.push(place.endpoint.id.clone());
             place = find_place(entry, admitted, progress, last_event_id).await?;
         }
-        let source = prefilled
-            .as_ref()
-            .map(|held: &Prefilled| (held.endpoint.address, held.handle.clone()));
-        let request =
-            admitted.to_endpoint(entry, &place.endpoint, Stage::Decode, source, last_event_id);
+        let source = prefilled.as_ref();
+        let source = source.map(|held| (held.endpoint.address, held.handle.clone()));
+        let stage = admitted.stage();
+        let request = admitted.to_endpoint(entry, &place.endpoint, stage, source, last_event_id);
         progress.runs += 1;
         admitted.charge.note(true);
-        match attempt(entry, admitted, &place.endpoint, request).await {
-            Outcome::Answered(answer) => {
-                return Ok(Opened {
-                    place,
-                    parts: answer.parts,
-                    body: answer.body,
-                });
-            }
+        let outcome = attempt(entry, admitted, &place.endpoint, request).await;
+        progress.excluded.push(place.endpoint.id.clone());
+        match outcome {
+            Outcome::Answered(Answer { parts, body }) => return Ok(Opened { place, parts, body }),
             Outcome::NotRun => {
                 progress.runs -= 1;
-                admitted.charge.note(progress.runs > 0);
                 progress.refusals += 1;
-                progress.excluded.push(place.endpoint.id.clone());
+                admitted.charge.note(progress.runs > 0);
+                // A KV cache that was offered twice in vain is lost; its endpoint is avoided for a while.
+                if let Some(held) = prefilled.take() {
+                    prefilled = held.offered_in_vain(entry);
+                }
                 if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
                     free(entry, prefilled);
                     return Err(give_up(progress, "endpoints_full"));
                 }
-                // Whether the KV cache can still be taken isn't told; it lives only shortly.
-                if let Some(held) = prefilled.take() {
-                    free(entry, Some(held));
-                }
             }
             Outcome::NotSent => {
                 progress.runs -= 1;
                 admitted.charge.note(progress.runs > 0);
-                progress.excluded.push(place.endpoint.id.clone());
             }
             Outcome::Lost => {
-                progress.excluded.push(place.endpoint.id.clone());
                 prefilled = None;
                 let can_repeat =
                     admitted.route.kind.may_repeat() && progress.runs < admitted.route.max_attempts;
@@ -169,22 +184,36 @@
     }
 }
 
-/// Waits for a decode place while the answer can be on time, then shortly for one that is late.
+/// Waits for a place while the answer can be on time, then shortly for one that is late.
 async fn find_place(
     entry: &Rc<Entry>,
     admitted: &Admitted,
     progress: &Progress,
     last_event_id: Option<u64>,
 ) -> Result<Place, Refusal> {
-    let limits = engine(admitted);
+    let Some(limits) = admitted.service_facts.engine else {
+        return find_plain_place(entry, admitted, progress);
+    };
     let delivered = last_event_id.map_or(0, |id| id * limits.event_tokens);
+    let run = expected_run(admitted, delivered);
+    if u64::from(run.held_tokens) > limits.kv_capacity_tokens {
+        return Err(Refusal::not_run("larger_than_any_endpoint", NEVER));
+    }
+    let has_endpoints = {
+        let registry = entry.registry.borrow();
+        let mut endpoints = registry.endpoints(&admitted.service, Stage::Decode);
+        endpoints.any(|endpoint| !progress.excluded.contains(&endpoint.id))
+    };
+    if !has_endpoints {
+        return Err(give_up(progress, "no_endpoint"));
+    }
     let target = Duration::from_millis(admitted.route.target_ms);
     let on_time = target.saturating_sub(PREPARATION);
     let is_late = Moment::now().since(admitted.arrived_at) > on_time;
     let request = PlaceRequest {
         service: admitted.service.clone(),
         capacity_tokens: limits.kv_capacity_tokens,
-        run: expected_run(admitted, delivered),
+        run,
         rank: Rank {
             is_late,
             priority: admitted.priority(),
@@ -192,13 +221,12 @@
         },
         excluded: progress.excluded.clone(),
     };
-    let until = admitted.arrived_at
-        + if is_late {
-            on_time + LATE_WAIT
-        } else {
-            on_time
-        };
-    let patience = until.since(Moment::now());
+    let patience = if is_late {
+        on_time + LATE_WAIT
+    } else {
+        on_time
+    };
+    let patience = (admitted.arrived_at + patience).since(Moment::now());
     let placed = compio::time::timeout(patience, entry.placed.place(request)).await;
     match placed {
         Ok(Some(place)) => Ok(place),
@@ -206,6 +234,28 @@
     }
 }
 
+/// A place at a service without engines, whose streams need no memory.
+fn find_plain_place(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &Progress,
+) -> Result<Place, Refusal> {
+    let near = &entry.settings.data_centre;
+    let (endpoints, candidates) = candidates(
+        entry,
+        &admitted.service,
+        Stage::Whole,
+        near,
+        &progress.excluded,
+    );
+    let chosen = choose_plain(&candidates).ok_or_else(|| give_up(progress, "no_endpoint"))?;
+    Ok(Place::take(
+        entry,
+        Rc::clone(&endpoints[chosen]),
+        Run::default(),
+    ))
+}
+
 /// Has the prompt read; `None` where the service has no endpoints that only prefill.
 async fn prefill(
     entry: &Rc<Entry>,
@@ -244,14 +294,19 @@
         let handle = compio::time::timeout(PREFILL_TIMEOUT, reading).await;
         drop(place);
         match handle {
-            Ok(Some(handle)) => return Ok(Some(Prefilled { endpoint, handle })),
+            Ok(Some(handle)) => {
+                return Ok(Some(Prefilled {
+                    endpoint,
+                    handle,
+                    read_at: Moment::now(),
+                    refusals: 0,
+                }));
+            }
             Ok(None) => {}
             Err(_) => {
                 let now = Moment::now();
-                entry
-                    .suspicions
-                    .borrow_mut()
-                    .note_failure(&endpoint.id, now);
+                let mut suspicions = entry.suspicions.borrow_mut();
+                suspicions.note_unreachable(&endpoint.id, now);
             }
         }
         excluded.push(endpoint.id.clone());
@@ -269,13 +324,13 @@
         Ok(answer) => answer,
         Err(error) => {
             let now = Moment::now();
-            entry
-                .suspicions
-                .borrow_mut()
-                .note_failure(&endpoint.id, now);
             tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-            if matches!(error, upstream::SendError::Broken { .. }) {
-                entry.note_break(admitted.fingerprint);
+            let mut suspicions = entry.suspicions.borrow_mut();
+            if matches!(error, upstream::SendError::NotSent { .. }) {
+                suspicions.note_unreachable(&endpoint.id, now);
+            } else {
+                suspicions.note_failure(&endpoint.id, now);
+                entry.check_for_crash(endpoint, admitted.fingerprint);
             }
             return None;
         }
@@ -284,7 +339,11 @@
     let handle = body.ok().and_then(|body| (entry.dialect.prefilled)(&body));
     match handle {
         Some(handle) if answer.parts.status.is_success() => {
-            entry.suspicions.borrow_mut().note_answer(&endpoint.id);
+            let now = Moment::now();
+            entry
+                .suspicions
+                .borrow_mut()
+                .note_success(&endpoint.id, now);
             Some(handle)
         }
         _ => {
@@ -335,13 +394,14 @@
     } = opened;
     remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
-    let event_tokens = u32::try_from(engine(&admitted).event_tokens).unwrap_or(1);
+    let engine = admitted.service_facts.engine;
+    let event_tokens = engine.and_then(|limits| u32::try_from(limits.event_tokens).ok());
     let relay = Relay {
         entry: Rc::clone(entry),
         admitted,
         progress,
         splitter: EventSplitter::default(),
-        event_tokens,
+        event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
         events: 0,
         opened: Some((place, body)),
@@ -372,7 +432,7 @@
                     return Some(Ok(events.bytes));
                 }
                 Ok(Ok(None)) => {
-                    self.log_end("whole");
+                    self.note_whole();
                     self.opened = None;
                     let rest = self.splitter.rest();
                     return (!rest.is_empty()).then_some(Ok(rest));
@@ -387,6 +447,17 @@
         }
     }
 
+    fn note_whole(&mut self) {
+        if let Some((place, _)) = &self.opened {
+            let mut suspicions = self.entry.suspicions.borrow_mut();
+            suspicions.note_success(&place.endpoint.id, Moment::now());
+        }
+        let mut poison = self.entry.poison.borrow_mut();
+        poison.note_answer(self.admitted.fingerprint);
+        drop(poison);
+        self.log_end("whole");
+    }
+
     fn cut(&mut self, reason: &'static str) -> io::Error {
         self.log_end(reason);
         self.opened = None;
@@ -405,7 +476,8 @@
             .suspicions
             .borrow_mut()
             .note_failure(&endpoint.id, now);
-        self.entry.note_break(self.admitted.fingerprint);
+        let fingerprint = self.admitted.fingerprint;
+        self.entry.check_for_crash(&endpoint, fingerprint);
         tracing::info!(
             event = "stream_broke",
             request_id = self.admitted.id(),
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -5,7 +5,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
 use http_body_util::{BodyExt as _, Full};
@@ -56,21 +56,43 @@
         Ok(None)
     }
 
+    /// The next bytes up to the end, or until there are more than `max_bytes`.
+    pub(crate) async fn begin(&mut self, max_bytes: usize) -> io::Result<Begun> {
+        let mut collected = BytesMut::new();
+        while collected.len() <= max_bytes {
+            let Some(data) = self.next().await? else {
+                return Ok(Begun {
+                    bytes: collected.freeze(),
+                    is_whole: true,
+                });
+            };
+            collected.extend_from_slice(&data);
+        }
+        Ok(Begun {
+            bytes: collected.freeze(),
+            is_whole: false,
+        })
+    }
+
     /// The whole rest, if it has at most `max_bytes`.
     pub(crate) async fn collect(&mut self, max_bytes: usize) -> io::Result<Bytes> {
-        let mut collected = Vec::new();
-        while let Some(data) = self.next().await? {
-            if collected.len() + data.len() > max_bytes {
-                return Err(io::Error::other(
-                    "the answer is larger than its call allows",
-                ));
-            }
-            collected.extend_from_slice(&data);
+        let begun = self.begin(max_bytes).await?;
+        if begun.is_whole {
+            Ok(begun.bytes)
+        } else {
+            Err(io::Error::other(
+                "the answer is larger than its call allows",
+            ))
         }
-        Ok(collected.into())
     }
 }
 
+/// The beginning of an answer.
+pub(crate) struct Begun {
+    pub(crate) bytes: Bytes,
+    pub(crate) is_whole: bool,
+}
+
 /// An open connection on which nothing was sent yet.
 pub(crate) struct Connection {
     address: SocketAddr,
