--- /dev/null
+++ b/crates/camphorwall-direct/src/choice_tests.rs
@@ -0,0 +1,137 @@
+use rstest::rstest;
+
+use crate::{
+    choice::{Candidate, choose_decode, choose_plain, choose_prefill, peak_tokens},
+    loads::Run,
+};
+
+fn run(held_tokens: u32, left_tokens: u32) -> Run {
+    Run {
+        held_tokens,
+        left_tokens,
+    }
+}
+
+fn candidate(runs: &[Run]) -> Candidate {
+    Candidate {
+        runs: runs.to_vec(),
+        slots: 12,
+        is_near: true,
+        ..Candidate::default()
+    }
+}
+
+/// Steps all runs one token at a time, as an engine does.
+fn stepped_peak(runs: &[Run], candidate: Run) -> u64 {
+    let mut runs: Vec<Run> = runs.iter().copied().chain([candidate]).collect();
+    let mut peak = 0;
+    while !runs.is_empty() {
+        peak = peak.max(runs.iter().map(|run| u64::from(run.held_tokens)).sum());
+        runs.retain(|run| run.left_tokens > 0);
+        for run in &mut runs {
+            run.held_tokens += 1;
+            run.left_tokens -= 1;
+        }
+    }
+    peak
+}
+
+#[rstest]
+#[case::alone(&[], run(50, 20))]
+#[case::ends_before_the_others_grow(&[run(100, 1), run(10, 80)], run(10, 80))]
+#[case::all_end_together(&[run(10, 30), run(20, 30)], run(30, 30))]
+#[case::ends_one_by_one(&[run(40, 5), run(30, 10), run(20, 25)], run(60, 15))]
+fn the_forecast_peak_is_that_of_an_engine_stepped_by_tokens(
+    #[case] runs: &[Run],
+    #[case] candidate: Run,
+) {
+    assert_eq!(peak_tokens(runs, candidate), stepped_peak(runs, candidate));
+}
+
+#[test]
+fn a_run_that_would_overfill_the_memory_later_gets_no_place_although_it_fits_now() {
+    let full_later = candidate(&[run(40, 30), run(40, 30)]);
+    assert_eq!(choose_decode(&[full_later], run(10, 30), 150, 1.0), None);
+}
+
+#[test]
+fn a_run_goes_where_others_end_soon() {
+    let growing = candidate(&[run(40, 60)]);
+    let ending = candidate(&[run(60, 2)]);
+    assert_eq!(
+        choose_decode(&[growing, ending], run(10, 40), 150, 1.0),
+        Some(1)
+    );
+}
+
+#[test]
+fn a_run_larger_than_the_memory_gets_an_empty_endpoint_only() {
+    let busy = candidate(&[run(1, 1)]);
+    let empty = candidate(&[]);
+    assert_eq!(choose_decode(&[busy.clone()], run(50, 200), 150, 1.0), None);
+    assert_eq!(
+        choose_decode(&[busy, empty], run(50, 200), 150, 1.0),
+        Some(1)
+    );
+}
+
+#[test]
+fn slots_bind_where_memory_does_not() {
+    let mut full = candidate(&[run(1, 1), run(1, 1)]);
+    full.slots = 2;
+    assert_eq!(choose_decode(&[full], run(1, 1), 1_000, 1.0), None);
+}
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_used_only_where_none_can() {
+    let gone = Candidate {
+        is_unreachable: true,
+        ..candidate(&[])
+    };
+    let busy = candidate(&[run(50, 10)]);
+    assert_eq!(choose_plain(&[gone.clone(), busy]), Some(1));
+    assert_eq!(choose_plain(&[gone]), Some(0));
+}
+
+#[test]
+fn a_full_pool_with_one_endpoint_out_of_reach_gives_no_place_there() {
+    let gone = Candidate {
+        is_unreachable: true,
+        ..candidate(&[])
+    };
+    let full = candidate(&[run(140, 5)]);
+    assert_eq!(choose_decode(&[gone, full], run(20, 5), 150, 1.0), None);
+}
+
+#[test]
+fn an_endpoint_that_fails_requests_gets_fewer() {
+    let failing = Candidate {
+        failure_share: 0.5,
+        ..candidate(&[])
+    };
+    let busy = candidate(&[run(20, 10), run(20, 10)]);
+    assert_eq!(choose_plain(&[failing.clone(), busy.clone()]), Some(1));
+    assert_eq!(
+        choose_decode(&[failing, busy], run(5, 5), 300, 1.0),
+        Some(1)
+    );
+}
+
+#[test]
+fn a_prompt_goes_to_the_shortest_queue_in_tokens() {
+    let one_long = candidate(&[run(9_000, 0)]);
+    let two_short = candidate(&[run(1_000, 0), run(1_000, 0)]);
+    assert_eq!(choose_prefill(&[one_long, two_short], 5_000), Some(1));
+}
+
+#[test]
+fn the_own_data_centre_wins_when_waits_are_equal() {
+    let far = Candidate {
+        is_near: false,
+        ..candidate(&[])
+    };
+    let near = candidate(&[]);
+    assert_eq!(choose_prefill(&[far.clone(), near.clone()], 5_000), Some(1));
+    assert_eq!(choose_plain(&[far.clone(), near.clone()]), Some(1));
+    assert_eq!(choose_decode(&[far, near], run(5, 5), 300, 1.0), Some(1));
+}
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    path::PathBuf,
     rc::Rc,
     time::Duration,
 };
@@ -36,6 +37,15 @@
 /// Longest idle time of a caller's connection. Callers close earlier.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// How often the settings file is looked at; it may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
+/// Memory that is assumed where the settings name no limit, in MiB.
+const DEFAULT_MEMORY_MB: usize = 256;
+
+/// Part of the memory that bodies of requests may fill, as its divisor.
+const BODY_MEMORY_PART: usize = 4;
+
 /// Files that are left for other things than callers' connections and those to endpoints.
 const RESERVED_FILES: usize = 300;
 
@@ -117,7 +127,9 @@
 
 /// State of an entry.
 pub(crate) struct Entry {
-    pub(crate) settings: DirectSettings,
+    settings: RefCell<Rc<DirectSettings>>,
+    settings_path: PathBuf,
+    body_bytes: Cell<usize>,
     pub(crate) dialect: Dialect,
     pub(crate) registry: RefCell<Registry>,
     pub(crate) quotas: RefCell<Quotas>,
@@ -136,24 +148,43 @@
 /// Counts a request as under way until it is dropped.
 pub(crate) struct ActiveGuard(Rc<Entry>);
 
+/// Bytes of a body that are held until it is dropped.
+pub(crate) struct BodyGuard {
+    entry: Rc<Entry>,
+    bytes: usize,
+}
+
+impl Drop for BodyGuard {
+    fn drop(&mut self) {
+        let held = self.entry.body_bytes.get();
+        self.entry.body_bytes.set(held - self.bytes);
+    }
+}
+
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
         self.0.active.set(self.0.active.get() - 1);
     }
 }
 
+fn retry_bounds(settings: &DirectSettings) -> RetryBounds {
+    RetryBounds {
+        share: settings.bounds.retry_share(),
+        window: settings.bounds.retry_window(),
+        allowance: settings.bounds.retry_allowance(),
+    }
+}
+
 impl Entry {
-    fn new(settings: DirectSettings, dialect: Dialect) -> Rc<Self> {
+    fn new(settings: DirectSettings, settings_path: PathBuf, dialect: Dialect) -> Rc<Self> {
         let mut random = SmallRng::from_rng(&mut rand::rng());
         let incarnation = random.random();
-        let bounds = RetryBounds {
-            share: settings.bounds.retry_share(),
-            window: settings.bounds.retry_window(),
-            allowance: settings.bounds.retry_allowance(),
-        };
+        let bounds = retry_bounds(&settings);
         let peers = Peers::new(settings.peer_address, &settings.seeds, incarnation);
         Rc::new(Self {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
+            settings_path,
+            body_bytes: Cell::new(0),
             dialect,
             registry: RefCell::default(),
             quotas: RefCell::default(),
@@ -170,6 +201,43 @@
         })
     }
 
+    /// Settings in force.
+    pub(crate) fn settings(&self) -> Rc<DirectSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes changed settings over; addresses stay as they are until the next start.
+    fn reload(&self) {
+        let settings = match DirectSettings::read(&self.settings_path) {
+            Ok(settings) => settings,
+            Err(error) => {
+                tracing::warn!(event = "settings_not_usable", %error);
+                return;
+            }
+        };
+        if settings == *self.settings() {
+            return;
+        }
+        tracing::info!(event = "settings_reloaded");
+        self.retries.borrow_mut().rebind(retry_bounds(&settings));
+        self.peers.borrow_mut().add_seeds(&settings.seeds);
+        self.settings.replace(Rc::new(settings));
+    }
+
+    /// Counts the bytes of a body that is to be held; `None` when too many are held.
+    pub(crate) fn hold_body(self: &Rc<Self>, bytes: usize) -> Option<BodyGuard> {
+        let held = self.body_bytes.get() + bytes;
+        let limit_mb = self.settings().memory_mb.unwrap_or(DEFAULT_MEMORY_MB) / BODY_MEMORY_PART;
+        if held > limit_mb * 1_024 * 1_024 {
+            return None;
+        }
+        self.body_bytes.set(held);
+        Some(BodyGuard {
+            entry: Rc::clone(self),
+            bytes,
+        })
+    }
+
     /// A number in 0..1.
     pub(crate) fn random(&self) -> f64 {
         self.random.borrow_mut().random()
@@ -208,7 +276,7 @@
     /// Part of each team's rate that may be spent here.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
-        let keys_end = self.settings.bounds.key_withdrawal() + PEER_MARGIN;
+        let keys_end = self.settings().bounds.key_withdrawal() + PEER_MARGIN;
         usable_share(peers.count(), peers.silent(keys_end, now))
     }
 
@@ -248,7 +316,7 @@
         let Some(configuration) = registry.configuration() else {
             return false;
         };
-        let key_withdrawal = self.settings.bounds.key_withdrawal();
+        let key_withdrawal = self.settings().bounds.key_withdrawal();
         let is_fresh = registry.keys_are_fresh(Moment::now(), key_withdrawal);
         let may_serve = is_fresh || !configuration.has_teams;
         !self.is_leaving() && may_serve && registry.has_endpoints()
@@ -263,7 +331,12 @@
     }
 
     async fn leave(&self) {
-        let deadline = Moment::now() + self.settings.bounds.shutdown().saturating_sub(EXIT_MARGIN);
+        let deadline = Moment::now()
+            + self
+                .settings()
+                .bounds
+                .shutdown()
+                .saturating_sub(EXIT_MARGIN);
         self.phase.set(Phase::Leaving);
         compio::time::sleep(LEAVE_GRACE).await;
         self.phase.set(Phase::Ending);
@@ -277,6 +350,14 @@
     }
 }
 
+/// Takes changes of the settings file over that no signal tells of.
+async fn watch_settings(entry: Rc<Entry>) {
+    loop {
+        compio::time::sleep(SETTINGS_PERIOD).await;
+        entry.reload();
+    }
+}
+
 async fn bind(
     address: std::net::SocketAddr,
     field: &'static str,
@@ -291,6 +372,7 @@
 /// # Errors
 /// When an address can't be bound.
 pub async fn run(
+    settings_path: PathBuf,
     settings: DirectSettings,
     dialect: Dialect,
     mut orders: mpsc::UnboundedReceiver<Order>,
@@ -308,8 +390,8 @@
         max_connections: files.saturating_sub(RESERVED_FILES).max(64) / 2,
         ..HttpLimits::default()
     };
-    let entry = Entry::new(settings, dialect);
-    tracing::info!(event = "started", instance = %entry.settings.instance);
+    let entry = Entry::new(settings, settings_path, dialect);
+    tracing::info!(event = "started", instance = %entry.settings().instance);
     let background = &entry.tasks;
     background.spawn(follow::follow_configuration(Rc::clone(&entry)));
     background.spawn(follow::follow_endpoints(Rc::clone(&entry)));
@@ -334,12 +416,10 @@
     let answering = Rc::clone(&entry);
     let handler = move |_| std::future::ready(answering.answer_probe());
     servers.spawn(probe_server.serve(handler, stopped));
+    background.spawn(watch_settings(Rc::clone(&entry)));
     while let Some(order) = orders.next().await {
         match order {
-            Order::Reload => tracing::info!(
-                event = "reload_ignored",
-                reason = "all settings need a restart"
-            ),
+            Order::Reload => entry.reload(),
             Order::Stop => break,
         }
     }
--- /dev/null
+++ b/crates/camphorwall-direct/src/events_tests.rs
@@ -0,0 +1,45 @@
+use rstest::rstest;
+
+use crate::events::EventSplitter;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(7)]
+#[case(15)]
+#[case(16)]
+#[case(1_000)]
+fn events_come_out_whole_however_the_bytes_are_split(#[case] size: usize) {
+    let mut splitter = EventSplitter::default();
+    let mut passed = Vec::new();
+    let mut count = 0;
+    let mut last_id = None;
+    for chunk in STREAM.chunks(size) {
+        let events = splitter.push(chunk);
+        assert!(events.bytes.is_empty() || events.bytes.ends_with(b"\n\n"));
+        passed.extend_from_slice(&events.bytes);
+        count += events.count;
+        last_id = events.last_id.or(last_id);
+    }
+    assert_eq!(passed, STREAM);
+    assert_eq!((count, last_id), (3, Some(3)));
+    assert!(splitter.rest().is_empty());
+}
+
+#[test]
+fn a_part_of_an_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
+    assert_eq!((events.count, events.last_id), (1, Some(1)));
+    assert_eq!(&splitter.rest()[..], b"id: 2\nda");
+}
+
+#[test]
+fn events_without_a_number_count_too() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"data: a\n\ndata: b\n\n");
+    assert_eq!((events.count, events.last_id), (2, None));
+}
--- a/crates/camphorwall-direct/src/follow.rs
+++ b/crates/camphorwall-direct/src/follow.rs
@@ -133,8 +133,10 @@
                 compio::time::sleep(RETRY_PAUSE).await;
             }
         }
-        for endpoint in entry.registry.borrow_mut().drop_lapsed(Moment::now()) {
+        let lapsed = entry.registry.borrow_mut().drop_lapsed(Moment::now());
+        for endpoint in lapsed {
             tracing::info!(event = "endpoint_changed", %endpoint, change = %EndpointChange::Removed);
+            entry.suspicions.borrow_mut().forget(&endpoint);
         }
     }
 }
@@ -146,7 +148,7 @@
     let mut first_revision = None;
     loop {
         let path = (store.list_path)(duty.prefix, keys.last().map(AsRef::as_ref));
-        let body = call(entry.settings.store_address, &path, ANSWER_TIMEOUT).await?;
+        let body = call(entry.settings().store_address, &path, ANSWER_TIMEOUT).await?;
         let page: Page = (store.page)(&body).map_err(StoreError::Failed)?;
         let revision = *first_revision.get_or_insert(page.revision);
         for item in page.items {
@@ -165,7 +167,7 @@
     let store = &entry.dialect.store;
     let path = (store.watch_path)(duty.prefix, after, duty.wait);
     let body = call(
-        entry.settings.store_address,
+        entry.settings().store_address,
         &path,
         duty.wait + ANSWER_TIMEOUT,
     )
@@ -226,7 +228,13 @@
             .borrow_mut()
             .register(endpoint, item.revision),
         // A registration that can't be read names no endpoint.
-        (_, Some(id)) => entry.registry.borrow_mut().remove(&id, item.revision, now),
+        (_, Some(id)) => {
+            let change = entry.registry.borrow_mut().remove(&id, item.revision, now);
+            if change == EndpointChange::Removed {
+                entry.suspicions.borrow_mut().forget(&id);
+            }
+            change
+        }
         (_, None) => EndpointChange::Unchanged,
     };
     if change != EndpointChange::Unchanged {
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -27,6 +27,27 @@
 mod suspicion;
 mod upstream;
 
+#[cfg(test)]
+mod choice_tests;
+#[cfg(test)]
+mod configuration_tests;
+#[cfg(test)]
+mod events_tests;
+#[cfg(test)]
+mod peers_tests;
+#[cfg(test)]
+mod poison_tests;
+#[cfg(test)]
+mod quota_tests;
+#[cfg(test)]
+mod registry_tests;
+#[cfg(test)]
+mod retries_tests;
+#[cfg(test)]
+mod suspicion_tests;
+#[cfg(test)]
+mod testing;
+
 pub use configuration::{
     CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
 };
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -55,6 +55,7 @@
 /// Known entries, by the address that they send from.
 #[derive(Debug)]
 pub(crate) struct Peers {
+    own: SocketAddr,
     incarnation: u64,
     known: HashMap<SocketAddr, Peer>,
     /// Incarnations that said goodbye, and when; others may still tell their addresses.
@@ -80,6 +81,7 @@
             (address, peer)
         };
         Self {
+            own,
             incarnation,
             known: addresses.map(peer).collect(),
             ended: HashMap::new(),
@@ -88,6 +90,14 @@
         }
     }
 
+    /// Takes further seeds over.
+    pub(crate) fn add_seeds(&mut self, seeds: &[SocketAddr]) {
+        let fresh = Self::new(self.own, seeds, self.incarnation);
+        for (address, peer) in fresh.known {
+            self.known.entry(address).or_insert(peer);
+        }
+    }
+
     /// Entries that are known, this one included.
     pub(crate) fn count(&self) -> usize {
         self.known.len() + 1
@@ -235,7 +245,7 @@
         return;
     }
     peers.ended.remove(&from);
-    let own = entry.settings.peer_address;
+    let own = entry.settings().peer_address;
     for address in word.peers {
         // Told addresses count as known from now on, but not as heard.
         let is_new = !peers.known.contains_key(&address) && !peers.ended.contains_key(&address);
--- /dev/null
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -0,0 +1,42 @@
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{clock::Moment, peers::Peers};
+
+const KEYS_END: Duration = Duration::from_secs(6);
+
+fn seeds(count: u8) -> Vec<SocketAddr> {
+    let seed = |host| SocketAddr::from(([10, 0, 0, host], 8_367));
+    (1..=count).map(seed).collect()
+}
+
+fn peers(count: u8) -> Peers {
+    Peers::new(SocketAddr::from(([10, 0, 0, 1], 7_500)), &seeds(count), 1)
+}
+
+#[test]
+fn the_own_address_among_the_seeds_is_no_peer() {
+    assert_eq!(peers(3).count(), 3);
+}
+
+#[test]
+fn an_entry_without_seeds_is_a_fleet_of_one() {
+    let peers = peers(1);
+    assert_eq!(peers.count(), 1);
+    assert_eq!(peers.silent(KEYS_END, Moment::now() + KEYS_END), 0);
+}
+
+#[test]
+fn an_entry_that_hears_nobody_withholds_the_others_shares_beyond_the_bound_for_keys() {
+    let peers = peers(3);
+    let now = Moment::now();
+    assert_eq!(peers.silent(KEYS_END, now), 0);
+    assert_eq!(peers.silent(KEYS_END, now + Duration::from_secs(2)), 2);
+    assert_eq!(peers.silent(KEYS_END, now + Duration::from_secs(10)), 2);
+}
+
+#[test]
+fn further_seeds_are_known_at_once() {
+    let mut peers = peers(2);
+    peers.add_seeds(&seeds(4));
+    assert_eq!(peers.count(), 4);
+}
--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -156,7 +156,7 @@
         entry,
         &request.service,
         Stage::Decode,
-        &entry.settings.data_centre,
+        &entry.settings().data_centre,
         &request.excluded,
     );
     let chosen = choose_decode(
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -148,7 +148,7 @@
 }
 
 fn next_endpoint(entry: &Entry, admitted: &Admitted, progress: &Progress) -> Option<Rc<Endpoint>> {
-    let near = &entry.settings.data_centre;
+    let near = &entry.settings().data_centre;
     let stage = admitted.stage();
     let (endpoints, candidates) =
         candidates(entry, &admitted.service, stage, near, &progress.tried);
--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -41,6 +41,12 @@
         self.0.remove(&fingerprint);
     }
 
+    /// Requests that are remembered.
+    #[cfg(test)]
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Whether the request must not be sent.
     #[must_use]
     pub(crate) fn is_blocked(&self, fingerprint: Fingerprint, now: Moment) -> bool {
--- /dev/null
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -0,0 +1,197 @@
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    clock::Moment,
+    configuration::Team,
+    quota::{Offer, Quotas, usable_share},
+    testing::{at_ms, team},
+};
+
+const NO_PATIENCE: Duration = Duration::ZERO;
+const PATIENCE: Duration = Duration::from_millis(450);
+
+fn take_all(quotas: &mut Quotas, team: &Team, cost: f64, now: Moment) -> f64 {
+    let mut taken = 0.0;
+    while quotas.offer(team, cost, 1.0, NO_PATIENCE, now) == Offer::Taken {
+        taken += cost;
+    }
+    taken
+}
+
+#[test]
+fn a_team_gets_its_burst_and_then_its_rate() {
+    let (mut quotas, team) = (Quotas::default(), team(1_000.0, 500.0));
+    let at_once = take_all(&mut quotas, &team, 50.0, at_ms(0));
+    assert!((at_once - 500.0).abs() < 1e-9);
+    let later = take_all(&mut quotas, &team, 50.0, at_ms(200));
+    assert!((later - 200.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_refusal_tells_when_the_tokens_will_be_there() {
+    let (mut quotas, team) = (Quotas::default(), team(1_000.0, 500.0));
+    take_all(&mut quotas, &team, 50.0, at_ms(0));
+    let refused = quotas.offer(&team, 300.0, 1.0, NO_PATIENCE, at_ms(0));
+    assert_eq!(refused, Offer::Refused(Duration::from_millis(300)));
+    let back = quotas.offer(&team, 300.0, 1.0, NO_PATIENCE, at_ms(300));
+    assert_eq!(back, Offer::Taken);
+}
+
+#[test]
+fn clumps_within_the_rate_wait_and_are_not_refused() {
+    // A burst of two requests; four come at once each second, which the rate allows.
+    let (mut quotas, team) = (Quotas::default(), team(4_000.0, 2_000.0));
+    for second in 0..10 {
+        let now = at_ms(second * 1_000);
+        let mut tickets = Vec::new();
+        for _ in 0..3 {
+            match quotas.offer(&team, 1_000.0, 1.0, PATIENCE, now) {
+                Offer::Taken => {}
+                Offer::Wait(ticket, wait) => tickets.push((ticket, wait)),
+                Offer::Refused(after) => panic!("refused for {after:?} in second {second}"),
+            }
+        }
+        for (ticket, wait) in tickets {
+            assert!(quotas.claim(&team, ticket, 1.0, now + wait).is_ok());
+        }
+    }
+}
+
+#[test]
+fn small_requests_pass_large_ones_that_wait() {
+    let (mut quotas, team) = (Quotas::default(), team(10_000.0, 10_000.0));
+    assert_eq!(
+        quotas.offer(&team, 9_000.0, 1.0, PATIENCE, at_ms(0)),
+        Offer::Taken
+    );
+    let large = quotas.offer(&team, 4_000.0, 1.0, PATIENCE, at_ms(0));
+    assert!(matches!(large, Offer::Wait(..)), "{large:?}");
+    assert_eq!(
+        quotas.offer(&team, 200.0, 1.0, PATIENCE, at_ms(0)),
+        Offer::Taken
+    );
+}
+
+#[test]
+fn large_requests_keep_their_order() {
+    let (mut quotas, team) = (Quotas::default(), team(10_000.0, 10_000.0));
+    quotas.offer(&team, 10_000.0, 1.0, PATIENCE, at_ms(0));
+    let Offer::Wait(first, _) = quotas.offer(&team, 3_000.0, 1.0, PATIENCE, at_ms(0)) else {
+        panic!("the first must wait");
+    };
+    let Offer::Wait(second, _) = quotas.offer(&team, 1_000.0, 1.0, PATIENCE, at_ms(0)) else {
+        panic!("the second must wait");
+    };
+    assert!(quotas.claim(&team, second, 1.0, at_ms(250)).is_err());
+    assert!(quotas.claim(&team, first, 1.0, at_ms(300)).is_ok());
+    assert!(quotas.claim(&team, second, 1.0, at_ms(400)).is_ok());
+}
+
+#[test]
+fn a_request_that_leaves_the_queue_lets_the_next_one_go() {
+    let (mut quotas, team) = (Quotas::default(), team(10_000.0, 10_000.0));
+    quotas.offer(&team, 10_000.0, 1.0, PATIENCE, at_ms(0));
+    let Offer::Wait(first, _) = quotas.offer(&team, 3_000.0, 1.0, PATIENCE, at_ms(0)) else {
+        panic!("the first must wait");
+    };
+    let Offer::Wait(second, _) = quotas.offer(&team, 1_000.0, 1.0, PATIENCE, at_ms(0)) else {
+        panic!("the second must wait");
+    };
+    quotas.withdraw(&team.name, first);
+    assert!(quotas.claim(&team, second, 1.0, at_ms(100)).is_ok());
+}
+
+#[test]
+fn what_has_not_run_is_given_back() {
+    let (mut quotas, team) = (Quotas::default(), team(1.0, 500.0));
+    take_all(&mut quotas, &team, 500.0, at_ms(0));
+    quotas.give_back(&team.name, 500.0);
+    assert_eq!(
+        quotas.offer(&team, 500.0, 1.0, NO_PATIENCE, at_ms(0)),
+        Offer::Taken
+    );
+}
+
+#[test]
+fn an_entry_that_starts_among_others_takes_no_burst_of_its_own() {
+    let team = team(1_000.0, 5_000.0);
+    let mut old = Quotas::default();
+    take_all(&mut old, &team, 100.0, at_ms(0));
+    let mut new = Quotas::default();
+    new.note_peer(1, old.told());
+    assert!(matches!(
+        new.offer(&team, 100.0, 1.0, NO_PATIENCE, at_ms(0)),
+        Offer::Refused(_)
+    ));
+}
+
+/// Entries that tell each other their accounts, each to its peers, with a delay; all ask without pause. Returns the
+/// most tokens that they took in any window.
+fn most_in_a_window(
+    entries: usize,
+    team: &Team,
+    cost: f64,
+    window_ms: u64,
+    is_cut: impl Fn(u64, usize, usize) -> bool,
+) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(11);
+    let mut quotas: Vec<Quotas> = (0..entries).map(|_| Quotas::default()).collect();
+    let mut heard = vec![vec![0_u64; entries]; entries];
+    let mut taken = Vec::new();
+    for now_ms in (0..40_000).step_by(10) {
+        for index in 0..entries {
+            let is_silent = |peer: &usize| *peer != index && now_ms - heard[index][*peer] > 500;
+            let silent = (0..entries).filter(is_silent).count();
+            let share = usable_share(entries, silent);
+            let asked = random.random_range(0..3);
+            for _ in 0..asked {
+                if quotas[index].offer(team, cost, share, NO_PATIENCE, at_ms(now_ms))
+                    == Offer::Taken
+                {
+                    taken.push(now_ms);
+                }
+            }
+        }
+        if now_ms % 40 == 0 {
+            let told: Vec<_> = quotas.iter().map(Quotas::told).collect();
+            for from in 0..entries {
+                for to in (0..entries).filter(|to| *to != from && !is_cut(now_ms, from, *to)) {
+                    quotas[to].note_peer(from as u64, told[from].clone());
+                    heard[to][from] = now_ms;
+                }
+            }
+        }
+    }
+    let in_window = |start: &u64| {
+        taken
+            .iter()
+            .filter(|at| (*start..start + window_ms).contains(at))
+            .count()
+    };
+    let most = taken.iter().map(in_window).max().unwrap_or(0);
+    most as f64 * cost
+}
+
+#[test]
+fn four_entries_under_a_flood_keep_to_one_contract() {
+    let (team, window_ms) = (team(20_000.0, 20_000.0), 8_000);
+    let most = most_in_a_window(4, &team, 500.0, window_ms, |_, _, _| false);
+    let contract = 20_000.0 * 8.0 + 20_000.0;
+    // Words are 40 ms old at most, in which the others may take what one sees as free.
+    assert!(most <= contract * 1.05, "{most} of {contract}");
+    assert!(most >= contract * 0.95, "only {most} of {contract}");
+}
+
+#[test]
+fn both_sides_of_a_partition_together_keep_to_one_contract() {
+    let (team, window_ms) = (team(20_000.0, 20_000.0), 8_000);
+    let is_cut = |now_ms: u64, from: usize, to: usize| {
+        (10_000..25_000).contains(&now_ms) && (from == 0) != (to == 0)
+    };
+    let most = most_in_a_window(4, &team, 500.0, window_ms, is_cut);
+    let contract = 20_000.0 * 8.0 + 20_000.0;
+    assert!(most <= contract * 1.1, "{most} of {contract}");
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/registry_tests.rs
@@ -0,0 +1,158 @@
+use std::time::Duration;
+
+use camphorwall::ServiceId;
+
+use crate::{
+    configuration::{Configuration, Endpoint, Stage},
+    registry::{EndpointChange, Registry},
+    testing::{at_ms, endpoint, endpoint_id},
+};
+
+const KEY_WITHDRAWAL: Duration = Duration::from_secs(5);
+
+fn service() -> ServiceId {
+    "drafts".parse().expect("a name")
+}
+
+fn decode() -> Endpoint {
+    endpoint("a", Stage::Decode)
+}
+
+fn count(registry: &Registry) -> usize {
+    registry.endpoints(&service(), Stage::Decode).count()
+}
+
+fn version(version: u64) -> Configuration {
+    Configuration {
+        version,
+        ..Configuration::default()
+    }
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut registry = Registry::default();
+    assert!(registry.apply_configuration(version(7)));
+    assert!(!registry.apply_configuration(version(5)));
+    assert!(!registry.apply_configuration(version(7)));
+    let in_force = registry.configuration().expect("a configuration");
+    assert_eq!(in_force.version, 7);
+}
+
+#[test]
+fn keys_are_trusted_only_within_the_bound_after_the_last_proof() {
+    let mut registry = Registry::default();
+    assert!(!registry.keys_are_fresh(at_ms(0), KEY_WITHDRAWAL));
+    registry.prove(at_ms(1_000));
+    assert!(registry.keys_are_fresh(at_ms(5_500), KEY_WITHDRAWAL));
+    assert!(!registry.keys_are_fresh(at_ms(5_600), KEY_WITHDRAWAL));
+    assert!(!registry.keys_are_fresh(at_ms(60_000), KEY_WITHDRAWAL));
+    registry.prove(at_ms(60_000));
+    assert!(registry.keys_are_fresh(at_ms(60_100), KEY_WITHDRAWAL));
+}
+
+#[test]
+fn a_late_answer_of_a_slow_call_proves_no_more_than_when_it_was_sent() {
+    let mut registry = Registry::default();
+    registry.prove(at_ms(8_000));
+    registry.prove(at_ms(2_000));
+    assert!(registry.keys_are_fresh(at_ms(12_000), KEY_WITHDRAWAL));
+}
+
+#[test]
+fn a_draining_endpoint_takes_no_new_work() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.register(decode(), 1), EndpointChange::Added);
+    assert_eq!(count(&registry), 1);
+    let draining = Endpoint {
+        is_draining: true,
+        ..decode()
+    };
+    assert_eq!(registry.register(draining, 2), EndpointChange::Draining);
+    assert_eq!(count(&registry), 0);
+    assert!(!registry.takes_work(&decode()));
+}
+
+#[test]
+fn a_removed_endpoint_is_not_brought_back_by_an_older_page() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 5);
+    let removed = registry.remove(&endpoint_id("a"), 9, at_ms(0));
+    assert_eq!(removed, EndpointChange::Removed);
+    assert_eq!(registry.register(decode(), 5), EndpointChange::Unchanged);
+    assert_eq!(count(&registry), 0);
+    assert_eq!(registry.register(decode(), 12), EndpointChange::Added);
+    assert_eq!(count(&registry), 1);
+}
+
+#[test]
+fn an_older_removal_does_not_undo_a_newer_registration() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 9);
+    let removed = registry.remove(&endpoint_id("a"), 5, at_ms(0));
+    assert_eq!(removed, EndpointChange::Unchanged);
+    assert_eq!(count(&registry), 1);
+}
+
+#[test]
+fn an_entry_missing_right_after_an_outage_of_the_store_lapses_before_it_is_gone() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 1);
+    registry.note_store_failure(at_ms(10_000));
+    let change = registry.remove(&endpoint_id("a"), 2, at_ms(10_500));
+    assert_eq!(change, EndpointChange::Lapsed);
+    assert_eq!(count(&registry), 1);
+    assert!(registry.drop_lapsed(at_ms(12_600)).is_empty());
+    assert_eq!(registry.drop_lapsed(at_ms(12_700)), [endpoint_id("a")]);
+    assert_eq!(count(&registry), 0);
+}
+
+#[test]
+fn an_endpoint_that_registers_anew_after_an_outage_stays() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 1);
+    registry.note_store_failure(at_ms(10_000));
+    registry.remove(&endpoint_id("a"), 2, at_ms(10_500));
+    registry.register(decode(), 3);
+    assert!(registry.drop_lapsed(at_ms(20_000)).is_empty());
+    assert_eq!(count(&registry), 1);
+}
+
+#[test]
+fn a_draining_endpoint_that_is_removed_in_an_outage_is_gone() {
+    let mut registry = Registry::default();
+    let draining = Endpoint {
+        is_draining: true,
+        ..decode()
+    };
+    registry.register(draining, 1);
+    registry.note_store_failure(at_ms(0));
+    let change = registry.remove(&endpoint_id("a"), 2, at_ms(100));
+    assert_eq!(change, EndpointChange::Removed);
+}
+
+#[test]
+fn a_whole_list_removes_what_it_lacks() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 1);
+    registry.register(endpoint("b", Stage::Decode), 2);
+    registry.keep_only(&[endpoint_id("b")], 8, at_ms(0));
+    assert_eq!(count(&registry), 1);
+    assert!(registry.takes_work(&endpoint("b", Stage::Decode)));
+}
+
+#[test]
+fn a_restart_under_the_same_name_is_another_endpoint() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 1);
+    let restarted = Endpoint {
+        born_ms: 2_000,
+        ..decode()
+    };
+    assert_eq!(
+        registry.register(restarted.clone(), 2),
+        EndpointChange::Added
+    );
+    assert!(!registry.takes_work(&decode()));
+    assert!(registry.takes_work(&restarted));
+}
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -13,7 +13,7 @@
     clock::Moment,
     configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
     dialect::{KvHandle, RequestFacts, Sending},
-    entry::{ActiveGuard, Entry},
+    entry::{ActiveGuard, BodyGuard, Entry},
     plain,
     poison::Fingerprint,
     refusal::Refusal,
@@ -26,6 +26,9 @@
 /// Largest body of a request that is refused by its head and yet read.
 const MAX_REFUSED_BODY_BYTES: usize = 256 * 1024;
 
+/// Memory that a body without an announced length is expected to take.
+const UNANNOUNCED_BODY_BYTES: usize = 64 * 1024;
+
 /// A request that was admitted.
 pub(crate) struct Admitted {
     pub(crate) method: Method,
@@ -41,6 +44,7 @@
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
     pub(crate) charge: Charge,
+    _body_guard: BodyGuard,
     /// Keeps a stopping entry alive until the answer's end.
     _active: ActiveGuard,
 }
@@ -142,6 +146,9 @@
         Ok(head) => head.configuration.limits.max_body_bytes,
         Err(_) => MAX_REFUSED_BODY_BYTES,
     };
+    let announced = announced_bytes(&parts.headers).min(max_body_bytes);
+    let body_guard = entry.hold_body(announced);
+    let body_guard = body_guard.ok_or_else(|| Refusal::not_run("bodies_fill_memory", SOON))?;
     // A refusal waits for the body too: closing a connection with unread bytes would reset it.
     let body = collect_body(body, max_body_bytes).await;
     let HeadFacts {
@@ -188,6 +195,7 @@
         fingerprint,
         arrived_at,
         ends_at: arrived_at + limit,
+        _body_guard: body_guard,
         _active: guard,
     };
     match admitted.route.kind {
@@ -196,6 +204,17 @@
     }
 }
 
+/// Bytes that a head announces for its body; a body without a length counts as a usual one.
+fn announced_bytes(headers: &http::HeaderMap) -> usize {
+    let length = headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    match length {
+        Some(bytes) => bytes,
+        None if headers.contains_key(header::TRANSFER_ENCODING) => UNANNOUNCED_BODY_BYTES,
+        None => 0,
+    }
+}
+
 /// What is known from the head alone.
 struct HeadFacts {
     configuration: Rc<Configuration>,
@@ -250,7 +269,7 @@
 
 /// Keys are trusted only while the configuration is known to be the newest.
 fn check_fresh(entry: &Entry, route: &Route, configuration: &Configuration) -> Result<(), Refusal> {
-    let key_withdrawal = entry.settings.bounds.key_withdrawal();
+    let key_withdrawal = entry.settings().bounds.key_withdrawal();
     let registry = entry.registry.borrow();
     let is_keyed = configuration.has_teams && !route.is_open;
     if is_keyed && !registry.keys_are_fresh(Moment::now(), key_withdrawal) {
--- a/crates/camphorwall-direct/src/retries.rs
+++ b/crates/camphorwall-direct/src/retries.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Takes changed bounds over.
+    pub(crate) fn rebind(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a caller's request.
     pub(crate) fn earn(&mut self, service: &ServiceId, now: Moment) {
         let counts = self.services.entry(service.clone()).or_default();
--- /dev/null
+++ b/crates/camphorwall-direct/src/retries_tests.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+use camphorwall::ServiceId;
+
+use crate::{
+    retries::{RetryBounds, RetryBudget},
+    testing::at_ms,
+};
+
+const BOUNDS: RetryBounds = RetryBounds {
+    share: 0.2,
+    window: Duration::from_secs(10),
+    allowance: 52.0,
+};
+
+fn service() -> ServiceId {
+    "drafts".parse().expect("a name")
+}
+
+/// Repeats that each of some entries may send at one moment after it has seen some requests.
+fn repeats(entries: usize, requests: u64) -> usize {
+    let mut total = 0;
+    for _ in 0..entries {
+        let mut budget = RetryBudget::new(BOUNDS);
+        for number in 0..requests {
+            budget.earn(&service(), at_ms(number));
+        }
+        let taken = (0..10_000).take_while(|_| budget.take(&service(), entries, at_ms(requests)));
+        total += taken.count();
+    }
+    total
+}
+
+#[test]
+fn a_fleet_in_which_everything_fails_stays_within_the_bound() {
+    for entries in [1, 2, 4, 7, 30] {
+        let requests = 500;
+        let bound = BOUNDS.share * (entries as f64 * requests as f64) + BOUNDS.allowance;
+        let sent = repeats(entries, requests);
+        assert!(
+            sent as f64 <= bound,
+            "{entries} entries sent {sent}, bound {bound}"
+        );
+        assert!(
+            sent as f64 >= bound * 0.7,
+            "{entries} entries sent only {sent} of {bound}"
+        );
+    }
+}
+
+#[test]
+fn repeats_come_back_when_the_window_has_passed() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    while budget.take(&service(), 1, at_ms(0)) {}
+    assert!(!budget.take(&service(), 1, at_ms(10_000)));
+    assert!(budget.take(&service(), 1, at_ms(10_001)));
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = RetryBudget::new(BOUNDS);
+    while budget.take(&service(), 1, at_ms(0)) {}
+    let other = "numbers".parse().expect("a name");
+    assert!(budget.take(&other, 1, at_ms(0)));
+}
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 /// Settings of one entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct DirectSettings {
     /// Name of this process in logs and among its peers.
@@ -25,12 +25,14 @@
     pub store_address: SocketAddr,
     /// Limit of open files of this process.
     pub max_open_files: Option<usize>,
+    /// Memory of this process, in MiB.
+    pub memory_mb: Option<usize>,
     /// Promises that the deployment holds the system to.
     pub bounds: Bounds,
 }
 
 /// Promises that the deployment holds the system to; a missing one takes its default.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
     /// Time after which a withdrawn key must not be served, in milliseconds.
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -240,7 +240,7 @@
     admitted: &Admitted,
     progress: &Progress,
 ) -> Result<Place, Refusal> {
-    let near = &entry.settings.data_centre;
+    let near = &entry.settings().data_centre;
     let (endpoints, candidates) = candidates(
         entry,
         &admitted.service,
