--- a/crates/camphorwall-direct/src/choice_tests.rs
+++ b/crates/camphorwall-direct/src/choice_tests.rs
@@ -68,7 +68,10 @@
 fn a_run_larger_than_the_memory_gets_an_empty_endpoint_only() {
     let busy = candidate(&[run(1, 1)]);
     let empty = candidate(&[]);
-    assert_eq!(choose_decode(&[busy.clone()], run(50, 200), 150, 1.0), None);
+    assert_eq!(
+        choose_decode(std::slice::from_ref(&busy), run(50, 200), 150, 1.0),
+        None
+    );
     assert_eq!(
         choose_decode(&[busy, empty], run(50, 200), 150, 1.0),
         Some(1)
