--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use camphorwall::{BoxedBody, HttpLimits, HttpServer, ServiceId, TaskGroup, empty_body, stop_pair};
+use camphorwall::{
+    BoxedBody, HttpLimits, HttpServer, LogRing, ServiceId, TaskGroup, empty_body, stop_pair,
+};
 use compio::net::{TcpListener, UdpSocket};
 use futures_channel::mpsc;
 use futures_util::{FutureExt as _, StreamExt as _};
@@ -22,6 +24,7 @@
     dialect::Dialect,
     follow,
     loads::Loads,
+    metrics::{Levels, Metrics},
     peers::{self, Peers},
     placing::{self, Placing},
     poison::{Fingerprint, Poison},
@@ -31,6 +34,7 @@
     retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
     suspicion::Suspicions,
+    trail::Sampler,
     upstream::Connection,
 };
 
@@ -140,6 +144,9 @@
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placed: Placing,
     pub(crate) tasks: TaskGroup,
+    pub(crate) metrics: Metrics,
+    pub(crate) sampler: RefCell<Sampler>,
+    log: Option<LogRing>,
     random: RefCell<SmallRng>,
     phase: Cell<Phase>,
     active: Cell<usize>,
@@ -176,7 +183,12 @@
 }
 
 impl Entry {
-    fn new(settings: DirectSettings, settings_path: PathBuf, dialect: Dialect) -> Rc<Self> {
+    fn new(
+        settings: DirectSettings,
+        settings_path: PathBuf,
+        dialect: Dialect,
+        log: Option<LogRing>,
+    ) -> Rc<Self> {
         let mut random = SmallRng::from_rng(&mut rand::rng());
         let incarnation = random.random();
         let bounds = retry_bounds(&settings);
@@ -195,6 +207,9 @@
             peers: RefCell::new(peers),
             placed: Placing::default(),
             tasks: TaskGroup::default(),
+            metrics: Metrics::default(),
+            sampler: RefCell::new(Sampler::new(Moment::now())),
+            log,
             random: RefCell::new(random),
             phase: Cell::new(Phase::Serving),
             active: Cell::new(0),
@@ -270,14 +285,15 @@
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let entries = self.peers.borrow().count();
         let mut retries = self.retries.borrow_mut();
-        retries.take(service, entries, Moment::now())
+        let is_taken = retries.take(service, entries, Moment::now());
+        self.metrics.count_repeat(is_taken);
+        is_taken
     }
 
     /// Part of each team's rate that may be spent here.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
-        let keys_end = self.settings().bounds.key_withdrawal() + PEER_MARGIN;
-        usable_share(peers.count(), peers.silent(keys_end, now))
+        usable_share(peers.count(), peers.silent(self.keys_end(), now))
     }
 
     /// Looks whether an endpoint that broke off a request has crashed: a lost answer or a reset connection leaves it
@@ -330,6 +346,27 @@
         response
     }
 
+    fn answer_scrape(&self) -> Response<BoxedBody> {
+        let now = Moment::now();
+        let registry = self.registry.borrow();
+        let peers = self.peers.borrow();
+        let configuration = registry.configuration();
+        self.metrics.response(Levels {
+            configuration_version: configuration.map_or(0, |held| held.version),
+            keys_proof_age: registry.proof_age(now),
+            active: self.active.get(),
+            waiting: self.placed.waiting(),
+            peers_known: peers.count() - 1,
+            peers_silent: peers.silent(self.keys_end(), now),
+            log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
+        })
+    }
+
+    /// Silence after which a peer that is cut off takes no keys.
+    fn keys_end(&self) -> Duration {
+        self.settings().bounds.key_withdrawal() + PEER_MARGIN
+    }
+
     async fn leave(&self) {
         let deadline = Moment::now()
             + self
@@ -375,6 +412,7 @@
     settings_path: PathBuf,
     settings: DirectSettings,
     dialect: Dialect,
+    log: Option<LogRing>,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) -> Result<(), StartError> {
     let callers = bind(settings.caller_address, "caller_address").await?;
@@ -390,7 +428,7 @@
         max_connections: files.saturating_sub(RESERVED_FILES).max(64) / 2,
         ..HttpLimits::default()
     };
-    let entry = Entry::new(settings, settings_path, dialect);
+    let entry = Entry::new(settings, settings_path, dialect, log);
     tracing::info!(event = "started", instance = %entry.settings().instance);
     let background = &entry.tasks;
     background.spawn(follow::follow_configuration(Rc::clone(&entry)));
@@ -398,6 +436,10 @@
     background.spawn(placing::give_places(Rc::clone(&entry)));
     background.spawn(peers::send_words(Rc::clone(&entry), socket.clone()));
     background.spawn(peers::receive_words(Rc::clone(&entry), socket.clone()));
+    let metrics_listener = match entry.settings().metrics_address {
+        Some(address) => Some(bind(address, "metrics_address").await?),
+        None => None,
+    };
     let (stop, stopped) = stop_pair();
     let servers = TaskGroup::default();
     let caller_server = HttpServer {
@@ -415,7 +457,16 @@
     };
     let answering = Rc::clone(&entry);
     let handler = move |_| std::future::ready(answering.answer_probe());
-    servers.spawn(probe_server.serve(handler, stopped));
+    servers.spawn(probe_server.serve(handler, stopped.clone()));
+    if let Some(listener) = metrics_listener {
+        let metrics_server = HttpServer {
+            listener,
+            limits: HttpLimits::default(),
+        };
+        let measured = Rc::clone(&entry);
+        let handler = move |_| std::future::ready(measured.answer_scrape());
+        servers.spawn(metrics_server.serve(handler, stopped));
+    }
     background.spawn(watch_settings(Rc::clone(&entry)));
     while let Some(order) = orders.next().await {
         match order {
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod follow;
 mod loads;
+mod metrics;
 mod outcome;
 mod peers;
 mod placing;
@@ -25,6 +26,7 @@
 mod signals;
 mod stream;
 mod suspicion;
+mod trail;
 mod upstream;
 
 #[cfg(test)]
@@ -47,6 +49,8 @@
 mod suspicion_tests;
 #[cfg(test)]
 mod testing;
+#[cfg(test)]
+mod trail_tests;
 
 pub use configuration::{
     CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
--- /dev/null
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -0,0 +1,241 @@
+//! Metrics of an entry. The count of series is bounded: labels are words of the code, never names of callers.
+
+use std::{cell::RefCell, sync::atomic::AtomicU64, time::Duration};
+
+use camphorwall::{BoxedBody, full_body};
+use http::{HeaderValue, header};
+use hyper::Response;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use strum::IntoStaticStr;
+
+use crate::configuration::RouteKind;
+
+/// Content type of `OpenMetrics` text.
+const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Prefix of all names.
+const PREFIX: &str = "camphorwall_direct";
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RequestLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct PhaseLabels {
+    kind: &'static str,
+    phase: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ResultLabels {
+    result: &'static str,
+}
+
+/// Part of a request's time.
+#[derive(Clone, Copy, Debug, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Phase {
+    /// Wait for the team's tokens.
+    Quota,
+    /// Wait for a decode place.
+    Place,
+    /// The prefill call.
+    Prefill,
+    /// From the arrival to the head of the answer.
+    First,
+    /// From the arrival to the end.
+    Whole,
+}
+
+/// What is read at the moment of a scrape.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Levels {
+    pub(crate) configuration_version: u64,
+    pub(crate) keys_proof_age: Option<Duration>,
+    pub(crate) active: usize,
+    pub(crate) waiting: usize,
+    pub(crate) peers_known: usize,
+    pub(crate) peers_silent: usize,
+    pub(crate) log_lines_dropped: u64,
+}
+
+/// Metrics of one entry.
+pub(crate) struct Metrics {
+    registry: RefCell<Registry>,
+    requests: Family<RequestLabels, Counter>,
+    phases: Family<PhaseLabels, Histogram>,
+    repeats: Family<ResultLabels, Counter>,
+    estimate_errors: Histogram,
+    configuration_version: Gauge<u64, AtomicU64>,
+    keys_proof_age: Gauge<f64, AtomicU64>,
+    active: Gauge<u64, AtomicU64>,
+    waiting: Gauge<u64, AtomicU64>,
+    peers_known: Gauge<u64, AtomicU64>,
+    peers_silent: Gauge<u64, AtomicU64>,
+    log_lines_dropped: Gauge<u64, AtomicU64>,
+}
+
+fn phase_histogram() -> Histogram {
+    // 5 ms to 20 s.
+    Histogram::new(exponential_buckets(0.005, 2.0, 13))
+}
+
+fn kind_label(kind: Option<RouteKind>) -> &'static str {
+    match kind {
+        None => "none",
+        Some(RouteKind::Idempotent) => "idempotent",
+        Some(RouteKind::NonIdempotent) => "non_idempotent",
+        Some(RouteKind::Stream { .. }) => "stream",
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: RefCell::new(Registry::with_prefix(PREFIX)),
+            requests: Family::default(),
+            phases: Family::new_with_constructor(phase_histogram),
+            repeats: Family::default(),
+            // Actual tokens over the estimate: 1/16 to 16 times.
+            estimate_errors: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
+            configuration_version: Gauge::default(),
+            keys_proof_age: Gauge::default(),
+            active: Gauge::default(),
+            waiting: Gauge::default(),
+            peers_known: Gauge::default(),
+            peers_silent: Gauge::default(),
+            log_lines_dropped: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut registry = self.registry.borrow_mut();
+        registry.register(
+            "requests",
+            "Requests ended, by outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "phase_seconds",
+            "Parts of requests' time",
+            self.phases.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Sends to a further endpoint",
+            self.repeats.clone(),
+        );
+        registry.register(
+            "output_estimate_ratio",
+            "Generated tokens over the estimate at placement",
+            self.estimate_errors.clone(),
+        );
+        let mut gauge = |name: &str, help: &str, gauge: &Gauge<u64, AtomicU64>| {
+            registry.register(name, help, gauge.clone());
+        };
+        gauge(
+            "configuration_version",
+            "Version in force, 0 for none",
+            &self.configuration_version,
+        );
+        gauge("active_requests", "Requests under way", &self.active);
+        gauge(
+            "waiting_requests",
+            "Requests that wait for a decode place",
+            &self.waiting,
+        );
+        gauge(
+            "peers_known",
+            "Other entries that are known",
+            &self.peers_known,
+        );
+        gauge(
+            "peers_silent",
+            "Other entries whose share of quotas is withheld",
+            &self.peers_silent,
+        );
+        gauge(
+            "log_lines_dropped",
+            "Log lines that found the ring full",
+            &self.log_lines_dropped,
+        );
+        registry.register(
+            "keys_proof_age_seconds",
+            "Age of the proof that the configuration is the newest, -1 for none",
+            self.keys_proof_age.clone(),
+        );
+    }
+
+    /// Counts the end of a request; `outcome` is a word of the code.
+    pub(crate) fn count_request(&self, kind: Option<RouteKind>, outcome: &'static str) {
+        let labels = RequestLabels {
+            kind: kind_label(kind),
+            outcome,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Notes the time of a part of a request.
+    pub(crate) fn note_phase(&self, kind: RouteKind, phase: Phase, time: Duration) {
+        let labels = PhaseLabels {
+            kind: kind_label(Some(kind)),
+            phase: phase.into(),
+        };
+        self.phases
+            .get_or_create(&labels)
+            .observe(time.as_secs_f64());
+    }
+
+    /// Counts a wish to send a request to a further endpoint.
+    pub(crate) fn count_repeat(&self, is_within_budget: bool) {
+        let result = if is_within_budget {
+            "sent"
+        } else {
+            "over_budget"
+        };
+        self.repeats.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Notes how many tokens a whole answer had against the estimate.
+    pub(crate) fn note_estimate(&self, estimated: u32, generated: u32) {
+        let ratio = f64::from(generated) / f64::from(estimated.max(1));
+        self.estimate_errors.observe(ratio);
+    }
+
+    /// All metrics as text.
+    pub(crate) fn response(&self, levels: Levels) -> Response<BoxedBody> {
+        self.configuration_version.set(levels.configuration_version);
+        let proof_age = levels.keys_proof_age.map_or(-1.0, |age| age.as_secs_f64());
+        self.keys_proof_age.set(proof_age);
+        self.active.set(levels.active as u64);
+        self.waiting.set(levels.waiting as u64);
+        self.peers_known.set(levels.peers_known as u64);
+        self.peers_silent.set(levels.peers_silent as u64);
+        self.log_lines_dropped.set(levels.log_lines_dropped);
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry.borrow()) {
+            tracing::warn!(event = "metrics_not_encoded", %error);
+        }
+        let mut response = Response::new(full_body(text));
+        let content_type = HeaderValue::from_static(CONTENT_TYPE);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+        response
+    }
+}
--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -104,6 +104,11 @@
         receiver.await.ok()
     }
 
+    /// Requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiters.borrow().len()
+    }
+
     async fn until_changed(&self) {
         poll_fn(|context| {
             self.waker.register(context.waker());
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use camphorwall::{BoxedBody, EndpointId, full_body, stream_body};
 use futures_util::stream;
-use http::header;
+use http::{StatusCode, header};
 use hyper::Response;
 
 use crate::{
@@ -18,6 +18,7 @@
     placing::{Place, candidates},
     refusal::Refusal,
     request::{Admitted, SOON},
+    trail::ANSWERED,
     upstream::{Answer, AnswerBody},
 };
 
@@ -72,9 +73,10 @@
         };
         progress.tried.push(endpoint.id.clone());
         let place = Place::take(entry, Rc::clone(&endpoint), Run::default());
+        admitted.trail.endpoint.replace(Some(endpoint.id.clone()));
         // Until the endpoint says otherwise, what was sent may have run.
         progress.runs += 1;
-        admitted.charge.note(true);
+        admitted.note_runs(progress.runs);
         let can_repeat = may_repeat && progress.runs < admitted.route.max_attempts;
         let outcome = if can_repeat {
             attempt_shortly(entry, admitted, &endpoint).await
@@ -93,7 +95,8 @@
             Outcome::NotRun => {
                 progress.runs -= 1;
                 progress.refusals += 1;
-                admitted.charge.note(progress.runs > 0);
+                admitted.trail.refusals.set(progress.refusals);
+                admitted.note_runs(progress.runs);
                 if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
                     return Err(give_up(progress, "endpoints_full"));
                 }
@@ -101,7 +104,7 @@
             }
             Outcome::NotSent => {
                 progress.runs -= 1;
-                admitted.charge.note(progress.runs > 0);
+                admitted.note_runs(progress.runs);
                 continue;
             }
             Outcome::Lost => None,
@@ -178,15 +181,10 @@
     }
     remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
-    let elapsed_ms = Moment::now().since(admitted.arrived_at).as_millis();
-    tracing::debug!(
-        event = "answered",
-        request_id = admitted.id(),
-        %endpoint,
-        status = parts.status.as_u16(),
-        elapsed_ms,
-    );
     if begun.is_whole {
+        admitted
+            .trail
+            .end(parts.status.as_u16(), answer_outcome(parts.status), 0);
         parts.headers.remove(header::CONTENT_LENGTH);
         return Ok(Response::from_parts(parts, full_body(begun.bytes)));
     }
@@ -194,6 +192,15 @@
     Ok(Response::from_parts(parts, stream_body(rest)))
 }
 
+/// Word for logs for an endpoint's own answer.
+fn answer_outcome(status: StatusCode) -> &'static str {
+    if status.is_server_error() {
+        "endpoint_failed"
+    } else {
+        ANSWERED
+    }
+}
+
 /// The beginning of an answer and what still comes of it.
 fn rest(
     begun: Bytes,
@@ -208,6 +215,11 @@
         }
         let next = compio::time::timeout(admitted.time_left(), body.next()).await;
         let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        match &next {
+            Ok(Some(_)) => {}
+            Ok(None) => admitted.trail.end(200, ANSWERED, 0),
+            Err(_) => admitted.trail.end(200, "broke_off", 0),
+        }
         let chunk = next.transpose()?;
         Some((chunk, (None, body, place, admitted)))
     })
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -83,6 +83,12 @@
             .is_some_and(|proved_at| now.since(proved_at) < limit)
     }
 
+    /// Age of the newest proof that the configuration in force is the store's newest.
+    #[must_use]
+    pub(crate) fn proof_age(&self, now: Moment) -> Option<Duration> {
+        self.proved_at.map(|proved_at| now.since(proved_at))
+    }
+
     /// Notes a call to the store that failed.
     pub(crate) fn note_store_failure(&mut self, now: Moment) {
         self.store_failed_at = Some(now);
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -18,6 +18,7 @@
     poison::Fingerprint,
     refusal::Refusal,
     stream,
+    trail::Trail,
 };
 
 /// When a caller may come back that was refused for a state which passes soon.
@@ -26,6 +27,9 @@
 /// Largest body of a request that is refused by its head and yet read.
 const MAX_REFUSED_BODY_BYTES: usize = 256 * 1024;
 
+/// When a caller may come back whose request crashed several endpoints.
+const CRASH_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// Memory that a body without an announced length is expected to take.
 const UNANNOUNCED_BODY_BYTES: usize = 64 * 1024;
 
@@ -43,6 +47,7 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
+    pub(crate) trail: Rc<Trail>,
     pub(crate) charge: Charge,
     _body_guard: BodyGuard,
     /// Keeps a stopping entry alive until the answer's end.
@@ -86,6 +91,12 @@
         request
     }
 
+    /// Notes how many attempts may have run so far.
+    pub(crate) fn note_runs(&self, runs: u32) {
+        self.trail.runs.set(runs);
+        self.charge.note(runs > 0);
+    }
+
     /// What an endpoint does of the work when it answers the caller.
     pub(crate) fn stage(&self) -> Stage {
         if self.service_facts.engine.is_some() {
@@ -106,25 +117,14 @@
     let arrived_at = Moment::now();
     let (parts, body) = request.into_parts();
     let facts = (entry.dialect.request_facts)(&parts);
-    let id = facts.request_id.clone();
-    let id = id.as_deref().unwrap_or("none");
-    let answered = serve(&entry, parts, body, facts, arrived_at).await;
+    let id = facts.request_id.as_deref().unwrap_or("none");
+    let trail = Rc::new(Trail::new(&entry, id, arrived_at));
+    let answered = serve(&entry, parts, body, facts, &trail).await;
     let is_refused = answered.is_err();
-    let mut response = match answered {
-        Ok(response) => response,
-        Err(refusal) => {
-            let elapsed_ms = Moment::now().since(arrived_at).as_millis();
-            tracing::info!(
-                event = "refused",
-                request_id = id,
-                status = refusal.status.as_u16(),
-                reason = refusal.reason,
-                retry_after_ms = refusal.retry_after.map(|after| after.as_secs_f64() * 1e3),
-                elapsed_ms,
-            );
-            refusal.response()
-        }
-    };
+    let mut response = answered.unwrap_or_else(|refusal| {
+        trail.end(refusal.status.as_u16(), refusal.reason, 0);
+        refusal.response()
+    });
     // A refused caller comes back over another connection; its old one would only cost memory.
     if is_refused || entry.is_leaving() {
         let close = HeaderValue::from_static("close");
@@ -138,9 +138,9 @@
     parts: http::request::Parts,
     body: Incoming,
     facts: RequestFacts,
-    arrived_at: Moment,
+    trail: &Rc<Trail>,
 ) -> Result<Response<BoxedBody>, Refusal> {
-    let guard = entry.begin_request();
+    let active = entry.begin_request();
     let head = admit_head(entry, &parts, &facts);
     let max_body_bytes = match &head {
         Ok(head) => head.configuration.limits.max_body_bytes,
@@ -156,47 +156,40 @@
         route,
         team,
     } = head?;
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut fingerprint = Xxh3::new();
-    fingerprint.update(path.as_bytes());
-    fingerprint.update(facts.key.as_deref().unwrap_or_default().as_bytes());
+    trail.note_route(&configuration, &route, team.as_deref());
     let body = body.ok_or_else(|| {
         Refusal::caller_error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large_or_broken")
     })?;
-    fingerprint.update(&body);
-    let service = route.service(entry.random()).cloned();
-    let service = service.ok_or_else(|| Refusal::not_run("route_without_service", SOON))?;
-    let service_facts = configuration.services.get(&service).cloned();
-    let timeout = Duration::from_millis(route.timeout_ms);
-    let limit = facts
-        .deadline
-        .map_or(timeout, |deadline| deadline.min(timeout));
-    let fingerprint = Fingerprint(fingerprint.digest());
+    let fingerprint = fingerprint(&parts.uri, &facts, &body);
     let now = Moment::now();
     if entry.poison.borrow().is_blocked(fingerprint, now) {
-        let retry_after = Duration::from_secs(30);
-        return Err(Refusal::not_run("breaks_endpoints", retry_after));
+        return Err(Refusal::not_run("crashes_endpoints", CRASH_RETRY_AFTER));
     }
+    let service = route.service(entry.random()).cloned();
+    let service = service.ok_or_else(|| Refusal::not_run("route_without_service", SOON))?;
     entry.retries.borrow_mut().earn(&service, now);
     let charge = Charge::take(entry, &facts, &route, team.clone()).await?;
+    Trail::add(&trail.quota_wait, now);
     // The key may have been withdrawn while the body came, or the tokens.
     check_fresh(entry, &route, &configuration)?;
+    let service_facts = configuration.services.get(&service).cloned();
     let admitted = Admitted {
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
         charge,
+        ends_at: trail.arrived_at + time_limit(&route, &facts),
+        arrived_at: trail.arrived_at,
         facts,
         route,
         service,
         service_facts: service_facts.unwrap_or(Service { engine: None }),
         team,
         fingerprint,
-        arrived_at,
-        ends_at: arrived_at + limit,
+        trail: Rc::clone(trail),
         _body_guard: body_guard,
-        _active: guard,
+        _active: active,
     };
     match admitted.route.kind {
         RouteKind::Stream { .. } => stream::serve(entry, admitted).await,
@@ -204,6 +197,25 @@
     }
 }
 
+/// Time from the arrival after which the caller must have its final answer.
+fn time_limit(route: &Route, facts: &RequestFacts) -> Duration {
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let deadline = facts.deadline.unwrap_or(timeout);
+    deadline.min(timeout)
+}
+
+/// What stays the same when a caller sends a request again.
+fn fingerprint(uri: &Uri, facts: &RequestFacts, body: &[u8]) -> Fingerprint {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    let key = facts.key.as_deref().unwrap_or_default();
+    let mut hash = Xxh3::new();
+    for part in [path.as_bytes(), key.as_bytes(), body] {
+        hash.update(&part.len().to_le_bytes());
+        hash.update(part);
+    }
+    Fingerprint(hash.digest())
+}
+
 /// Bytes that a head announces for its body; a body without a length counts as a usual one.
 fn announced_bytes(headers: &http::HeaderMap) -> usize {
     let length = headers.get(header::CONTENT_LENGTH);
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -17,6 +17,8 @@
     pub caller_address: SocketAddr,
     /// Address that the balancer probes for readiness.
     pub probe_address: SocketAddr,
+    /// Address that tells metrics; none tells nothing.
+    pub metrics_address: Option<SocketAddr>,
     /// Address for datagrams of other entries; all entries use the same port.
     pub peer_address: SocketAddr,
     /// Addresses of some entries, possibly stale; only their hosts matter.
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use camphorwall::{BoxedBody, EndpointId, stream_body};
 use futures_util::stream;
+use http::StatusCode;
 use hyper::Response;
 
 use crate::{
@@ -19,6 +20,7 @@
     placing::{Place, PlaceRequest, Rank, candidates},
     refusal::Refusal,
     request::Admitted,
+    trail::{ANSWERED, Trail},
     upstream::{self, Answer, AnswerBody},
 };
 
@@ -142,15 +144,21 @@
         let stage = admitted.stage();
         let request = admitted.to_endpoint(entry, &place.endpoint, stage, source, last_event_id);
         progress.runs += 1;
-        admitted.charge.note(true);
+        admitted.note_runs(progress.runs);
+        let endpoint = place.endpoint.id.clone();
+        admitted.trail.endpoint.replace(Some(endpoint));
         let outcome = attempt(entry, admitted, &place.endpoint, request).await;
         progress.excluded.push(place.endpoint.id.clone());
         match outcome {
-            Outcome::Answered(Answer { parts, body }) => return Ok(Opened { place, parts, body }),
+            Outcome::Answered(Answer { parts, body }) => {
+                admitted.trail.note_first();
+                return Ok(Opened { place, parts, body });
+            }
             Outcome::NotRun => {
                 progress.runs -= 1;
                 progress.refusals += 1;
-                admitted.charge.note(progress.runs > 0);
+                admitted.trail.refusals.set(progress.refusals);
+                admitted.note_runs(progress.runs);
                 // A KV cache that was offered twice in vain is lost; its endpoint is avoided for a while.
                 if let Some(held) = prefilled.take() {
                     prefilled = held.offered_in_vain(entry);
@@ -162,7 +170,7 @@
             }
             Outcome::NotSent => {
                 progress.runs -= 1;
-                admitted.charge.note(progress.runs > 0);
+                admitted.note_runs(progress.runs);
             }
             Outcome::Lost => {
                 prefilled = None;
@@ -227,7 +235,9 @@
         on_time
     };
     let patience = (admitted.arrived_at + patience).since(Moment::now());
+    let since = Moment::now();
     let placed = compio::time::timeout(patience, entry.placed.place(request)).await;
+    Trail::add(&admitted.trail.place_wait, since);
     match placed {
         Ok(Some(place)) => Ok(place),
         _ => Err(give_up(progress, "no_place_in_time")),
@@ -291,7 +301,11 @@
         progress.prefills += 1;
         let request = admitted.to_endpoint(entry, &endpoint, Stage::Prefill, None, None);
         let reading = read_prefill(entry, admitted, &endpoint, request);
+        let since = Moment::now();
         let handle = compio::time::timeout(PREFILL_TIMEOUT, reading).await;
+        Trail::add(&admitted.trail.prefill, since);
+        let id = endpoint.id.clone();
+        admitted.trail.prefill_endpoint.replace(Some(id));
         drop(place);
         match handle {
             Ok(Some(handle)) => {
@@ -374,6 +388,7 @@
     entry: Rc<Entry>,
     admitted: Admitted,
     progress: Progress,
+    status: StatusCode,
     splitter: EventSplitter,
     event_tokens: u32,
     last_event_id: Option<u64>,
@@ -400,6 +415,7 @@
         entry: Rc::clone(entry),
         admitted,
         progress,
+        status: parts.status,
         splitter: EventSplitter::default(),
         event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
@@ -448,6 +464,9 @@
     }
 
     fn note_whole(&mut self) {
+        let generated = self.events * self.event_tokens;
+        let estimated = expected_run(&self.admitted, 0).left_tokens;
+        self.entry.metrics.note_estimate(estimated, generated);
         if let Some((place, _)) = &self.opened {
             let mut suspicions = self.entry.suspicions.borrow_mut();
             suspicions.note_success(&place.endpoint.id, Moment::now());
@@ -455,7 +474,12 @@
         let mut poison = self.entry.poison.borrow_mut();
         poison.note_answer(self.admitted.fingerprint);
         drop(poison);
-        self.log_end("whole");
+        let outcome = if self.status.is_success() {
+            ANSWERED
+        } else {
+            "endpoint_failed"
+        };
+        self.log_end(outcome);
     }
 
     fn cut(&mut self, reason: &'static str) -> io::Error {
@@ -512,13 +536,7 @@
     }
 
     fn log_end(&self, outcome: &'static str) {
-        let elapsed_ms = Moment::now().since(self.admitted.arrived_at).as_millis();
-        tracing::info!(
-            event = "stream_ended",
-            request_id = self.admitted.id(),
-            outcome,
-            events = self.events,
-            elapsed_ms,
-        );
+        let status = self.status.as_u16();
+        self.admitted.trail.end(status, outcome, self.events);
     }
 }
--- /dev/null
+++ b/crates/camphorwall-direct/src/trail.rs
@@ -0,0 +1,204 @@
+//! What happened to one request, told in one line at its end.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use camphorwall::{EndpointId, TeamId};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    clock::Moment,
+    configuration::{Configuration, Route, RouteKind, Team},
+    entry::Entry,
+    metrics::Phase,
+};
+
+/// Lines of requests that were served well, a second; failures are all told.
+const SAMPLED_PER_S: f64 = 25.0;
+
+/// Time over which requests are counted to find the part that is sampled.
+const COUNT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Steps of one request with what decided them.
+pub(crate) struct Trail {
+    entry: Rc<Entry>,
+    pub(crate) id: Box<str>,
+    pub(crate) arrived_at: Moment,
+    /// Whether its line is written although it was served well.
+    is_sampled: bool,
+    has_ended: Cell<bool>,
+    pub(crate) kind: Cell<Option<RouteKind>>,
+    pub(crate) team: RefCell<Option<TeamId>>,
+    pub(crate) route: RefCell<Option<Box<str>>>,
+    pub(crate) configuration_version: Cell<u64>,
+    /// Time that it waited for its team's tokens.
+    pub(crate) quota_wait: Cell<Duration>,
+    /// Time that it waited for a decode place.
+    pub(crate) place_wait: Cell<Duration>,
+    /// Time of the prefill, and where.
+    pub(crate) prefill: Cell<Duration>,
+    pub(crate) prefill_endpoint: RefCell<Option<EndpointId>>,
+    pub(crate) endpoint: RefCell<Option<EndpointId>>,
+    /// Time to the head of the answer.
+    pub(crate) first: Cell<Option<Duration>>,
+    /// Attempts that may have run, and sends that endpoints refused.
+    pub(crate) runs: Cell<u32>,
+    pub(crate) refusals: Cell<u32>,
+}
+
+impl Trail {
+    pub(crate) fn new(entry: &Rc<Entry>, id: &str, arrived_at: Moment) -> Self {
+        let is_sampled = entry.sampler.borrow_mut().is_sampled(id, arrived_at);
+        Self {
+            entry: Rc::clone(entry),
+            id: id.into(),
+            arrived_at,
+            is_sampled,
+            has_ended: Cell::default(),
+            kind: Cell::default(),
+            team: RefCell::default(),
+            route: RefCell::default(),
+            configuration_version: Cell::default(),
+            quota_wait: Cell::default(),
+            place_wait: Cell::default(),
+            prefill: Cell::default(),
+            prefill_endpoint: RefCell::default(),
+            endpoint: RefCell::default(),
+            first: Cell::default(),
+            runs: Cell::default(),
+            refusals: Cell::default(),
+        }
+    }
+
+    /// Notes what the request's head selected.
+    pub(crate) fn note_route(
+        &self,
+        configuration: &Configuration,
+        route: &Route,
+        team: Option<&Team>,
+    ) {
+        self.configuration_version.set(configuration.version);
+        self.kind.set(Some(route.kind));
+        self.route.replace(Some(route.name.clone()));
+        self.team.replace(team.map(|team| team.name.clone()));
+    }
+
+    /// Adds the time since a moment to one of the waits.
+    pub(crate) fn add(wait: &Cell<Duration>, since: Moment) {
+        wait.set(wait.get() + Moment::now().since(since));
+    }
+
+    /// Notes that the head of an answer has come.
+    pub(crate) fn note_first(&self) {
+        if self.first.get().is_none() {
+            self.first.set(Some(Moment::now().since(self.arrived_at)));
+        }
+    }
+
+    /// Counts the end of the request and writes its line.
+    pub(crate) fn end(&self, status: u16, outcome: &'static str, events: u32) {
+        self.has_ended.set(true);
+        let metrics = &self.entry.metrics;
+        metrics.count_request(self.kind.get(), outcome);
+        if let Some(kind) = self.kind.get() {
+            metrics.note_phase(kind, Phase::Quota, self.quota_wait.get());
+            metrics.note_phase(kind, Phase::Place, self.place_wait.get());
+            metrics.note_phase(kind, Phase::Prefill, self.prefill.get());
+            if let Some(first) = self.first.get() {
+                metrics.note_phase(kind, Phase::First, first);
+            }
+            let whole = Moment::now().since(self.arrived_at);
+            metrics.note_phase(kind, Phase::Whole, whole);
+        }
+        self.tell(status, outcome, events);
+    }
+
+    fn tell(&self, status: u16, outcome: &str, events: u32) {
+        let ms = |duration: Duration| duration.as_millis();
+        let name = |endpoint: &RefCell<Option<EndpointId>>| {
+            let endpoint = endpoint.borrow();
+            endpoint
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default()
+        };
+        let is_well = outcome == ANSWERED;
+        macro_rules! tell {
+            ($level:ident) => {
+                tracing::$level!(
+                    event = "request_ended",
+                    request_id = &*self.id,
+                    outcome,
+                    status,
+                    route = self.route.borrow().as_deref().unwrap_or_default(),
+                    team = self.team.borrow().as_ref().map(tracing::field::display),
+                    configuration = self.configuration_version.get(),
+                    quota_wait_ms = ms(self.quota_wait.get()),
+                    place_wait_ms = ms(self.place_wait.get()),
+                    prefill_ms = ms(self.prefill.get()),
+                    prefill_endpoint = name(&self.prefill_endpoint),
+                    endpoint = name(&self.endpoint),
+                    runs = self.runs.get(),
+                    refusals = self.refusals.get(),
+                    first_ms = self.first.get().map(|first| first.as_secs_f64() * 1e3),
+                    events,
+                    elapsed_ms = ms(Moment::now().since(self.arrived_at)),
+                )
+            };
+        }
+        if self.is_sampled || !is_well {
+            tell!(info);
+        } else {
+            tell!(debug);
+        }
+    }
+}
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        if !self.has_ended.get() {
+            self.end(0, CALLER_LEFT, 0);
+        }
+    }
+}
+
+/// Outcome of a request whose caller closed its connection.
+const CALLER_LEFT: &str = "caller_left";
+
+/// Outcome of a request whose whole answer was delivered.
+pub(crate) const ANSWERED: &str = "answered";
+
+/// Chooses the requests whose lines are written.
+#[derive(Debug)]
+pub(crate) struct Sampler {
+    counted_from: Moment,
+    count: u32,
+    share: f64,
+}
+
+impl Sampler {
+    pub(crate) const fn new(now: Moment) -> Self {
+        Self {
+            counted_from: now,
+            count: 0,
+            share: 1.0,
+        }
+    }
+
+    /// Counts a request and tells whether its line is written. All entries choose the same requests at equal loads.
+    pub(crate) fn is_sampled(&mut self, request_id: &str, now: Moment) -> bool {
+        let counted = now.since(self.counted_from);
+        if counted >= COUNT_PERIOD {
+            let per_s = f64::from(self.count) / counted.as_secs_f64();
+            self.share = SAMPLED_PER_S / per_s.max(SAMPLED_PER_S);
+            self.counted_from = now;
+            self.count = 0;
+        }
+        self.count += 1;
+        let point = xxh3_64(request_id.as_bytes()) as f64 / u64::MAX as f64;
+        point < self.share
+    }
+}
--- a/crates/camphorwall/src/lib.rs
+++ b/crates/camphorwall/src/lib.rs
@@ -5,6 +5,9 @@
 mod files;
 mod http;
 mod ids;
+mod log_ring;
+#[cfg(test)]
+mod log_ring_tests;
 mod logging;
 mod problem;
 mod published;
@@ -29,7 +32,8 @@
     AdapterId, DataCentreId, EndpointId, IdError, InstanceId, KeyDigest, ModelId, ModelVersion,
     RegionId, RequestId, ReservationId, RouteId, ServiceId, TeamId,
 };
-pub use logging::init_logging;
+pub use log_ring::LogRing;
+pub use logging::{init_bounded_logging, init_logging};
 pub use problem::{Outcome, Problem, ProblemKind};
 pub use published::{
     Contract, DataCentre, Deployment, DeploymentTarget, Document, DocumentError, DocumentKind,
