--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -264,6 +264,10 @@
         heard_at: now,
         last_crash: 0,
     });
+    if now.since(peer.heard_at) > SILENT_AFTER {
+        // Its share was withheld meanwhile, so what it charged since its last word must not count again.
+        entry.quotas.borrow_mut().forget_peer(word.incarnation);
+    }
     peer.heard_at = now;
     if peer.incarnation != Some(word.incarnation) {
         tracing::info!(event = "peer_found", %from, incarnation = word.incarnation);
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -247,7 +247,7 @@
         }
     }
 
-    /// Forgets a peer that has ended.
+    /// Forgets what a peer has told, since it has ended or was silent; its next word counts as its first.
     pub(crate) fn forget_peer(&mut self, incarnation: u64) {
         self.told.remove(&incarnation);
     }
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -128,6 +128,28 @@
     ));
 }
 
+#[test]
+fn what_a_peer_charged_while_it_was_silent_is_not_charged_a_second_time() {
+    let team = team(10_000.0, 10_000.0);
+    let (mut here, mut there) = (Quotas::default(), Quotas::default());
+    here.note_peer(1, there.told());
+    take_all(&mut there, &team, 1_000.0, at_ms(0));
+    here.note_peer(1, there.told());
+    // A cut of eight seconds, in which each side takes its half of the rate.
+    for second in 1..=8 {
+        for quotas in [&mut here, &mut there] {
+            while quotas.offer(&team, 1_000.0, 0.5, NO_PATIENCE, at_ms(second * 1_000))
+                == Offer::Taken
+            {}
+        }
+    }
+    here.forget_peer(1);
+    here.note_peer(1, there.told());
+    let level = here.level(&team.name).expect("an account");
+    assert!(level >= 0.0, "{level}");
+    assert!(level <= there.level(&team.name).expect("an account") + 1e-9);
+}
+
 /// Entries that tell each other their accounts, each to its peers, with a delay; all ask without pause. Returns the
 /// most tokens that they took in any window.
 fn most_in_a_window(
@@ -159,6 +181,9 @@
             let told: Vec<_> = quotas.iter().map(Quotas::told).collect();
             for from in 0..entries {
                 for to in (0..entries).filter(|to| *to != from && !is_cut(now_ms, from, *to)) {
+                    if now_ms - heard[to][from] > 500 {
+                        quotas[to].forget_peer(from as u64);
+                    }
                     quotas[to].note_peer(from as u64, told[from].clone());
                     heard[to][from] = now_ms;
                 }
