--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -185,14 +185,16 @@
 
 async fn send_word(entry: &Entry, socket: &UdpSocket, is_ending: bool) {
     let (addresses, word) = {
+        let now = Moment::now();
+        let share = entry.quota_share(now);
         let mut peers = entry.peers.borrow_mut();
         let addresses: Vec<_> = peers.known.keys().copied().collect();
-        let quotas = entry.quotas.borrow();
+        let mut quotas = entry.quotas.borrow_mut();
         let word = Word {
             incarnation: peers.incarnation,
             is_ending,
-            peers: peers.heard(Moment::now()),
-            accounts: quotas.told(),
+            peers: peers.heard(now),
+            accounts: quotas.told(share, now),
             work: entry.loads.borrow().own(),
             crashes: peers.crashes(),
         };
@@ -284,8 +286,10 @@
             entry.poison.borrow_mut().note_crash(fingerprint, now);
         }
     }
+    drop(peers);
+    let share = entry.quota_share(now);
     let mut quotas = entry.quotas.borrow_mut();
-    quotas.note_peer(word.incarnation, word.accounts);
+    quotas.note_peer(word.incarnation, word.accounts, share, now);
     let mut loads = entry.loads.borrow_mut();
     loads.note_peer(word.incarnation, word.work);
     entry.placed.changed();
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -65,12 +65,10 @@
 }
 
 impl Account {
-    fn refill(&mut self, team: &Team, rate_per_s: f64, share: f64, now: Moment) {
+    fn refill(&mut self, share: f64, now: Moment) {
         let elapsed_s = now.since(self.updated_at).as_secs_f64();
         let refilled = self.level + self.rate_per_s * share * elapsed_s;
-        self.rate_per_s = rate_per_s;
-        self.burst = team.burst;
-        self.level = refilled.min(team.burst);
+        self.level = refilled.min(self.burst);
         self.updated_at = now;
     }
 
@@ -121,7 +119,10 @@
             waiting: VecDeque::new(),
         };
         let account = self.accounts.entry(team.name.clone()).or_insert_with(fresh);
-        account.refill(team, rate_per_s, share, now);
+        account.refill(share, now);
+        account.rate_per_s = rate_per_s;
+        account.burst = team.burst;
+        account.level = account.level.min(team.burst);
         account
     }
 
@@ -215,13 +216,16 @@
     }
 
     /// This entry's accounts, for its peers.
-    pub(crate) fn told(&self) -> Vec<ToldAccount> {
-        let told = |(team, account): (&TeamId, &Account)| ToldAccount {
-            team: team.clone(),
-            charged: account.charged,
-            level: account.level,
+    pub(crate) fn told(&mut self, share: f64, now: Moment) -> Vec<ToldAccount> {
+        let told = |(team, account): (&TeamId, &mut Account)| {
+            account.refill(share, now);
+            ToldAccount {
+                team: team.clone(),
+                charged: account.charged,
+                level: account.level,
+            }
         };
-        self.accounts.iter().map(told).collect()
+        self.accounts.iter_mut().map(told).collect()
     }
 
     /// Tokens that a team has left, as far as this entry knows.
@@ -231,19 +235,26 @@
 
     /// Takes over what a peer has charged. Its first word sets what later ones are compared with, and a level that
     /// the own one must not exceed: this entry may be new among entries that have charged for long.
-    pub(crate) fn note_peer(&mut self, incarnation: u64, accounts: Vec<ToldAccount>) {
+    pub(crate) fn note_peer(
+        &mut self,
+        incarnation: u64,
+        accounts: Vec<ToldAccount>,
+        share: f64,
+        now: Moment,
+    ) {
         let told = self.told.entry(incarnation).or_default();
         for peer in accounts {
             let before = told.insert(peer.team.clone(), peer.charged);
-            match (self.accounts.get_mut(&peer.team), before) {
-                (Some(account), Some(before)) => {
-                    account.level = (account.level - (peer.charged - before)).min(account.burst);
-                }
-                (Some(account), None) => account.level = account.level.min(peer.level),
-                (None, _) => {
-                    self.told_levels.insert(peer.team, peer.level);
-                }
-            }
+            let Some(account) = self.accounts.get_mut(&peer.team) else {
+                self.told_levels.insert(peer.team, peer.level);
+                continue;
+            };
+            // What overflowed until now must not cover what was charged just now.
+            account.refill(share, now);
+            account.level = match before {
+                Some(before) => (account.level - (peer.charged - before)).min(account.burst),
+                None => account.level.min(peer.level),
+            };
         }
     }
 
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -121,7 +121,7 @@
     let mut old = Quotas::default();
     take_all(&mut old, &team, 100.0, at_ms(0));
     let mut new = Quotas::default();
-    new.note_peer(1, old.told());
+    new.note_peer(1, old.told(1.0, at_ms(0)), 1.0, at_ms(0));
     assert!(matches!(
         new.offer(&team, 100.0, 1.0, NO_PATIENCE, at_ms(0)),
         Offer::Refused(_)
@@ -132,9 +132,9 @@
 fn what_a_peer_charged_while_it_was_silent_is_not_charged_a_second_time() {
     let team = team(10_000.0, 10_000.0);
     let (mut here, mut there) = (Quotas::default(), Quotas::default());
-    here.note_peer(1, there.told());
+    here.note_peer(1, there.told(1.0, at_ms(0)), 1.0, at_ms(0));
     take_all(&mut there, &team, 1_000.0, at_ms(0));
-    here.note_peer(1, there.told());
+    here.note_peer(1, there.told(1.0, at_ms(0)), 1.0, at_ms(0));
     // A cut of eight seconds, in which each side takes its half of the rate.
     for second in 1..=8 {
         for quotas in [&mut here, &mut there] {
@@ -144,12 +144,35 @@
         }
     }
     here.forget_peer(1);
-    here.note_peer(1, there.told());
+    here.note_peer(1, there.told(1.0, at_ms(8_000)), 1.0, at_ms(8_000));
     let level = here.level(&team.name).expect("an account");
     assert!(level >= 0.0, "{level}");
     assert!(level <= there.level(&team.name).expect("an account") + 1e-9);
 }
 
+#[test]
+fn an_entry_without_own_requests_keeps_its_level_right() {
+    let team = team(1_000.0, 1_000.0);
+    let (mut idle, mut busy) = (Quotas::default(), Quotas::default());
+    // Both open their accounts, then only one is asked.
+    for quotas in [&mut idle, &mut busy] {
+        assert_eq!(
+            quotas.offer(&team, 0.0, 1.0, NO_PATIENCE, at_ms(0)),
+            Offer::Taken
+        );
+    }
+    idle.note_peer(1, busy.told(1.0, at_ms(0)), 1.0, at_ms(0));
+    for second in 1..=20 {
+        let now = at_ms(second * 1_000);
+        take_all(&mut busy, &team, 100.0, now);
+        idle.note_peer(1, busy.told(1.0, now), 1.0, now);
+        let told = idle.told(1.0, now);
+        idle.note_peer(2, told, 1.0, now);
+        let level = idle.level(&team.name).expect("an account");
+        assert!(level.abs() < 1e-6, "{level} in second {second}");
+    }
+}
+
 /// Entries that tell each other their accounts, each to its peers, with a delay; all ask without pause. Returns the
 /// most tokens that they took in any window.
 fn most_in_a_window(
@@ -178,13 +201,17 @@
             }
         }
         if now_ms % 40 == 0 {
-            let told: Vec<_> = quotas.iter().map(Quotas::told).collect();
+            let now = at_ms(now_ms);
+            let told: Vec<_> = quotas
+                .iter_mut()
+                .map(|quotas| quotas.told(1.0, now))
+                .collect();
             for from in 0..entries {
                 for to in (0..entries).filter(|to| *to != from && !is_cut(now_ms, from, *to)) {
                     if now_ms - heard[to][from] > 500 {
                         quotas[to].forget_peer(from as u64);
                     }
-                    quotas[to].note_peer(from as u64, told[from].clone());
+                    quotas[to].note_peer(from as u64, told[from].clone(), 1.0, now);
                     heard[to][from] = now_ms;
                 }
             }
