--- a/crates/camphorwall-cli/src/commands/command.rs
+++ b/crates/camphorwall-cli/src/commands/command.rs
@@ -80,6 +80,7 @@
         "file with the secret of the system's own processes",
         "FILE",
     );
+    options.optmulti("l", "log", "saved log to read instead of asking", "FILE");
     options.optflag("j", "json", "write JSON for machines");
     options.optflag("V", "version", "show the version");
     options
--- a/crates/camphorwall-cli/src/commands/explain.rs
+++ b/crates/camphorwall-cli/src/commands/explain.rs
@@ -6,13 +6,14 @@
 use super::{
     ask::{address, ask, show},
     command::{Command, CommandError, operands},
+    explain_log::explain_logs,
 };
 
 /// The command.
 pub(crate) const COMMAND: Command = Command {
     name: "explain",
-    arguments: "REQUEST-ID --address IP:PORT",
-    summary: "show an entry's decisions on a request",
+    arguments: "REQUEST-ID (--address IP:PORT | --log FILE)",
+    summary: "show an entry's decisions on a request, or its life from saved logs",
     run,
 };
 
@@ -23,6 +24,10 @@
             "name one request id, as in the answer's camphorwall-request-id".into(),
         ));
     };
+    let logs = matches.opt_strs("log");
+    if !logs.is_empty() {
+        return explain_logs(&logs, request_id);
+    }
     let request_id = request_id
         .parse()
         .map_err(|error| usage(format!("{error}")))?;
--- /dev/null
+++ b/crates/camphorwall-cli/src/commands/explain_log.rs
@@ -0,0 +1,97 @@
+//! The life of a request from saved logs, for `explain --log`.
+
+use std::{collections::BTreeMap, path::Path};
+
+use camphorwall::RequestEnd;
+
+use super::command::CommandError;
+
+/// A line of a log that belongs to a request.
+struct Line<'a> {
+    /// Time of day as the log has it, which sorts as text.
+    at: &'a str,
+    /// What stands before the time: the instance, where logs of several were gathered.
+    origin: &'a str,
+    fields: &'a str,
+}
+
+/// Reads saved logs and tells a request's life in order.
+///
+/// # Errors
+/// When a file can't be read or no line names the request.
+pub(crate) fn explain_logs(files: &[String], request_id: &str) -> Result<String, CommandError> {
+    let mut texts = Vec::new();
+    for file in files {
+        let text = std::fs::read(Path::new(file)).map_err(|error| CommandError::Invalid {
+            message: format!("{file}: can't be read: {error}; check the path"),
+        })?;
+        texts.push(String::from_utf8_lossy(&text).into_owned());
+    }
+    let lines = texts.iter().flat_map(|text| text.lines());
+    let told = tell(lines, request_id);
+    told.ok_or_else(|| CommandError::Invalid {
+        message: format!(
+            "no line names request {request_id}; served requests are sampled under load, failures are not: \
+             look whether log_lines_dropped tells of lost lines, and at the other entries' logs"
+        ),
+    })
+}
+
+fn tell<'a>(lines: impl Iterator<Item = &'a str>, request_id: &str) -> Option<String> {
+    let mut own: Vec<Line<'a>> = lines
+        .filter(|line| field(line, "request_id") == Some(request_id))
+        .filter_map(parse)
+        .collect();
+    own.sort_by_key(|line| line.at);
+    if own.is_empty() {
+        return None;
+    }
+    let life = own
+        .iter()
+        .map(|line| format!("{} {} {}\n", line.at, line.origin, line.fields));
+    let outcomes = own.iter().filter_map(|line| field(line.fields, "outcome"));
+    let ends: BTreeMap<&str, &str> = outcomes
+        .filter_map(|outcome| outcome.parse::<RequestEnd>().ok())
+        .map(|end| (end.word(), end.meaning()))
+        .collect();
+    let causes = ends
+        .iter()
+        .map(|(word, meaning)| format!("\n{word}: {meaning}"));
+    Some(life.chain(causes).collect())
+}
+
+/// Splits a line at its time, the first word that looks like one.
+fn parse(line: &str) -> Option<Line<'_>> {
+    let is_time =
+        |word: &&str| word.len() > 19 && word.as_bytes()[10] == b'T' && word.ends_with('Z');
+    let at = line.split_whitespace().find(is_time)?;
+    let start = line.find(at)?;
+    Some(Line {
+        at,
+        origin: line[..start].trim(),
+        fields: line[start + at.len()..].trim(),
+    })
+}
+
+/// Value of a field of a line, without its quotes.
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let mut rest = line;
+    loop {
+        let start = rest.find(name)?;
+        let after = &rest[start + name.len()..];
+        let is_word = start == 0 || rest[..start].ends_with(' ');
+        match after.strip_prefix('=') {
+            Some(value) if is_word => {
+                let quoted = value
+                    .strip_prefix('"')
+                    .and_then(|value| value.split('"').next());
+                return quoted.or_else(|| value.split_whitespace().next());
+            }
+            _ => rest = after,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "explain_log_tests.rs"]
+mod tests;
--- a/crates/camphorwall-cli/src/commands/mod.rs
+++ b/crates/camphorwall-cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod config_status;
 mod drain;
 mod explain;
+mod explain_log;
 mod histograms;
 mod published_check;
 mod quarantine_lift;
--- a/crates/camphorwall-direct/src/charge.rs
+++ b/crates/camphorwall-direct/src/charge.rs
@@ -55,9 +55,18 @@
         match offer {
             Offer::Taken => {}
             Offer::Wait(ticket, wait) => {
-                wait_for_tokens(entry, &team, ticket, wait, now + patience).await?;
+                let turn = Turn {
+                    entry,
+                    team: &team,
+                    ticket,
+                };
+                if let Err(retry_after) = turn.wait(wait, now + patience).await {
+                    return Err(over_quota(entry, facts, &team, retry_after));
+                }
+            }
+            Offer::Refused(retry_after) => {
+                return Err(over_quota(entry, facts, &team, retry_after));
             }
-            Offer::Refused(retry_after) => return Err(over_quota(entry, &team, retry_after)),
         }
         charge.team = Some(team);
         Ok(charge)
@@ -83,9 +92,12 @@
     }
 }
 
-fn over_quota(entry: &Entry, team: &Team, retry_after: Duration) -> Refusal {
+fn over_quota(entry: &Entry, facts: &RequestFacts, team: &Team, retry_after: Duration) -> Refusal {
     tracing::info!(
         event = "over_quota",
+        request_id = facts.request_id.as_deref(),
+        retry_after_ms = retry_after.as_secs_f64() * 1e3,
+        cost = cost(facts, Some(team)),
         team = %team.name,
         level = entry.quotas.borrow().level(&team.name),
         rate_per_s = team.rate_per_s,
@@ -94,36 +106,27 @@
     Refusal::over_quota(retry_after)
 }
 
-/// Waits until a request's tokens are there, at most until a moment.
-async fn wait_for_tokens(
-    entry: &Entry,
-    team: &Team,
-    ticket: Ticket,
-    wait: Duration,
-    until: Moment,
-) -> Result<(), Refusal> {
-    let turn = Turn {
-        entry,
-        team,
-        ticket,
-    };
-    let mut wait = wait;
-    loop {
-        let left = until.since(Moment::now());
-        if left.is_zero() {
-            return Err(over_quota(entry, team, wait));
-        }
-        // Requests before this one may leave, so the forecast is looked at again meanwhile.
-        compio::time::sleep(wait.min(LOOK_PERIOD).min(left)).await;
-        let now = Moment::now();
-        let share = entry.quota_share(now);
-        let claimed = entry
-            .quotas
-            .borrow_mut()
-            .claim(team, turn.ticket, share, now);
-        match claimed {
-            Ok(()) => return Ok(()),
-            Err(longer) => wait = longer.max(SHORTEST_WAIT),
+impl Turn<'_> {
+    /// Waits until the tokens are there, at most until a moment.
+    ///
+    /// # Errors
+    /// The time after which to come back.
+    async fn wait(&self, expected: Duration, until: Moment) -> Result<(), Duration> {
+        let mut wait = expected;
+        loop {
+            let left = until.since(Moment::now());
+            if left.is_zero() {
+                return Err(wait);
+            }
+            // Requests before this one may leave, so the forecast is looked at again meanwhile.
+            compio::time::sleep(wait.min(LOOK_PERIOD).min(left)).await;
+            let now = Moment::now();
+            let share = self.entry.quota_share(now);
+            let mut quotas = self.entry.quotas.borrow_mut();
+            match quotas.claim(self.team, self.ticket, share, now) {
+                Ok(()) => return Ok(()),
+                Err(longer) => wait = longer.max(SHORTEST_WAIT),
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -0,0 +1,74 @@
+//! The operators' page lists what the code writes.
+
+use std::{collections::BTreeSet, fs, path::Path, time::Duration};
+
+use camphorwall::RequestEnd;
+use strum::IntoEnumIterator as _;
+
+use crate::{
+    configuration::RouteKind,
+    metrics::{Levels, Metrics, Phase},
+};
+
+fn page() -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    fs::read_to_string(path).expect("the page")
+}
+
+/// Words in backticks at the start of the rows of a section's table.
+fn rows(section: &str) -> BTreeSet<String> {
+    let page = page();
+    let start = page.find(&format!("## {section}\n")).expect("the section");
+    let section = &page[start + 3..];
+    let section = section.split("\n## ").next().expect("a section");
+    let first_cell = |line: &str| Some(line.strip_prefix("| `")?.split('`').next()?.to_owned());
+    section.lines().filter_map(first_cell).collect()
+}
+
+/// Events that the sources of a crate write.
+fn events() -> BTreeSet<String> {
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut events = BTreeSet::new();
+    for file in fs::read_dir(sources).expect("the sources") {
+        let path = file.expect("a file").path();
+        if path.to_string_lossy().ends_with("_tests.rs") {
+            continue;
+        }
+        let text = fs::read_to_string(path).expect("a source");
+        let found = text
+            .split("event = \"")
+            .skip(1)
+            .filter_map(|rest| rest.split('"').next());
+        events.extend(found.map(str::to_owned));
+    }
+    events
+}
+
+#[test]
+fn the_page_lists_every_event_and_no_other() {
+    let mut expected = events();
+    expected.insert("log_lines_dropped".into());
+    assert_eq!(rows("Index of log events"), expected);
+}
+
+#[test]
+fn the_page_lists_every_outcome_and_no_other() {
+    let expected: BTreeSet<_> = RequestEnd::iter()
+        .map(|end| end.word().to_owned())
+        .collect();
+    assert_eq!(rows("Index of outcomes"), expected);
+}
+
+#[test]
+fn the_page_lists_every_metric_and_no_other() {
+    let metrics = Metrics::default();
+    // Families are written once they have a series.
+    metrics.count_request(None, RequestEnd::Answered);
+    metrics.note_phase(RouteKind::Idempotent, Phase::Whole, Duration::ZERO);
+    metrics.count_repeat(true);
+    let text = metrics.text(Levels::default());
+    let named = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+    let named = named.filter_map(|line| line.split_whitespace().next());
+    let expected: BTreeSet<_> = named.map(str::to_owned).collect();
+    assert_eq!(rows("Index of metrics"), expected);
+}
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -34,6 +34,8 @@
 #[cfg(test)]
 mod configuration_tests;
 #[cfg(test)]
+mod documentation_tests;
+#[cfg(test)]
 mod events_tests;
 #[cfg(test)]
 mod peers_tests;
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, sync::atomic::AtomicU64, time::Duration};
 
-use camphorwall::{BoxedBody, full_body};
+use camphorwall::{BoxedBody, RequestEnd, full_body};
 use http::{HeaderValue, header};
 use hyper::Response;
 use prometheus_client::{
@@ -181,11 +181,11 @@
         );
     }
 
-    /// Counts the end of a request; `outcome` is a word of the code.
-    pub(crate) fn count_request(&self, kind: Option<RouteKind>, outcome: &'static str) {
+    /// Counts the end of a request.
+    pub(crate) fn count_request(&self, kind: Option<RouteKind>, outcome: RequestEnd) {
         let labels = RequestLabels {
             kind: kind_label(kind),
-            outcome,
+            outcome: outcome.word(),
         };
         self.requests.get_or_create(&labels).inc();
     }
@@ -218,7 +218,7 @@
     }
 
     /// All metrics as text.
-    pub(crate) fn response(&self, levels: Levels) -> Response<BoxedBody> {
+    pub(crate) fn text(&self, levels: Levels) -> String {
         self.configuration_version.set(levels.configuration_version);
         let proof_age = levels.keys_proof_age.map_or(-1.0, |age| age.as_secs_f64());
         self.keys_proof_age.set(proof_age);
@@ -231,6 +231,12 @@
         if let Err(error) = encode(&mut text, &self.registry.borrow()) {
             tracing::warn!(event = "metrics_not_encoded", %error);
         }
+        text
+    }
+
+    /// All metrics as an answer.
+    pub(crate) fn response(&self, levels: Levels) -> Response<BoxedBody> {
+        let text = self.text(levels);
         let mut response = Response::new(full_body(text));
         let content_type = HeaderValue::from_static(CONTENT_TYPE);
         response
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, EndpointId, full_body, stream_body};
+use camphorwall::{BoxedBody, EndpointId, RequestEnd, full_body, stream_body};
 use futures_util::stream;
 use http::{StatusCode, header};
 use hyper::Response;
@@ -18,7 +18,6 @@
     placing::{Place, candidates},
     refusal::Refusal,
     request::{Admitted, SOON},
-    trail::ANSWERED,
     upstream::{Answer, AnswerBody},
 };
 
@@ -69,7 +68,7 @@
     let may_repeat = admitted.route.kind.may_repeat();
     loop {
         let Some(endpoint) = next_endpoint(entry, admitted, progress) else {
-            return Err(give_up(progress, "no_endpoint"));
+            return Err(give_up(progress, RequestEnd::NoEndpoint));
         };
         progress.tried.push(endpoint.id.clone());
         let place = Place::take(entry, Rc::clone(&endpoint), Run::default());
@@ -98,7 +97,7 @@
                 admitted.trail.refusals.set(progress.refusals);
                 admitted.note_runs(progress.runs);
                 if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
-                    return Err(give_up(progress, "endpoints_full"));
+                    return Err(give_up(progress, RequestEnd::EndpointsFull));
                 }
                 continue;
             }
@@ -110,7 +109,7 @@
             Outcome::Lost => None,
         };
         if !can_repeat || !entry.take_retry(&admitted.service) {
-            return failure.ok_or_else(|| Refusal::may_have_run("no_whole_answer"));
+            return failure.ok_or_else(|| Refusal::may_have_run(RequestEnd::NoWholeAnswer));
         }
         tracing::debug!(
             event = "sent_again",
@@ -142,9 +141,9 @@
 }
 
 /// A refusal after which nothing more is sent.
-fn give_up(progress: &Progress, reason: &'static str) -> Refusal {
+fn give_up(progress: &Progress, reason: RequestEnd) -> Refusal {
     if progress.runs > 0 {
-        Refusal::may_have_run("no_whole_answer")
+        Refusal::may_have_run(RequestEnd::NoWholeAnswer)
     } else {
         Refusal::not_run(reason, SOON)
     }
@@ -193,11 +192,11 @@
 }
 
 /// Word for logs for an endpoint's own answer.
-fn answer_outcome(status: StatusCode) -> &'static str {
+fn answer_outcome(status: StatusCode) -> RequestEnd {
     if status.is_server_error() {
-        "endpoint_failed"
+        RequestEnd::EndpointFailed
     } else {
-        ANSWERED
+        RequestEnd::Answered
     }
 }
 
@@ -217,8 +216,8 @@
         let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         match &next {
             Ok(Some(_)) => {}
-            Ok(None) => admitted.trail.end(200, ANSWERED, 0),
-            Err(_) => admitted.trail.end(200, "broke_off", 0),
+            Ok(None) => admitted.trail.end(200, RequestEnd::Answered, 0),
+            Err(_) => admitted.trail.end(200, RequestEnd::BrokeOff, 0),
         }
         let chunk = next.transpose()?;
         Some((chunk, (None, body, place, admitted)))
--- a/crates/camphorwall-direct/src/refusal.rs
+++ b/crates/camphorwall-direct/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use camphorwall::{BoxedBody, full_body};
+use camphorwall::{BoxedBody, RequestEnd, full_body};
 use http::{HeaderValue, StatusCode, header};
 use hyper::Response;
 
@@ -11,13 +11,13 @@
 pub(crate) struct Refusal {
     pub(crate) status: StatusCode,
     /// Word for logs and the caller.
-    pub(crate) reason: &'static str,
+    pub(crate) reason: RequestEnd,
     pub(crate) retry_after: Option<Duration>,
 }
 
 impl Refusal {
     /// The request has not run and won't; it can come back after a time.
-    pub(crate) fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+    pub(crate) fn not_run(reason: RequestEnd, retry_after: Duration) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason,
@@ -29,13 +29,13 @@
     pub(crate) fn over_quota(retry_after: Duration) -> Self {
         Self {
             status: StatusCode::TOO_MANY_REQUESTS,
-            reason: "over_quota",
+            reason: RequestEnd::OverQuota,
             retry_after: Some(retry_after),
         }
     }
 
     /// The request itself is wrong.
-    pub(crate) fn caller_error(status: StatusCode, reason: &'static str) -> Self {
+    pub(crate) fn caller_error(status: StatusCode, reason: RequestEnd) -> Self {
         Self {
             status,
             reason,
@@ -44,7 +44,7 @@
     }
 
     /// The request may have run, and no answer is to be had.
-    pub(crate) fn may_have_run(reason: &'static str) -> Self {
+    pub(crate) fn may_have_run(reason: RequestEnd) -> Self {
         Self {
             status: StatusCode::BAD_GATEWAY,
             reason,
@@ -56,13 +56,13 @@
     pub(crate) fn timed_out() -> Self {
         Self {
             status: StatusCode::GATEWAY_TIMEOUT,
-            reason: "timed_out",
+            reason: RequestEnd::TimedOut,
             retry_after: None,
         }
     }
 
     pub(crate) fn response(&self) -> Response<BoxedBody> {
-        let mut response = Response::new(full_body(self.reason));
+        let mut response = Response::new(full_body(self.reason.word()));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, ServiceId, collect_body};
+use camphorwall::{BoxedBody, RequestEnd, ServiceId, collect_body};
 use http::{HeaderValue, Method, Request, StatusCode, Uri, Version, header};
 use hyper::{Response, body::Incoming};
 use xxhash_rust::xxh3::Xxh3;
@@ -141,14 +141,15 @@
     trail: &Rc<Trail>,
 ) -> Result<Response<BoxedBody>, Refusal> {
     let active = entry.begin_request();
-    let head = admit_head(entry, &parts, &facts);
+    let head = admit_head(entry, &parts, &facts, trail);
     let max_body_bytes = match &head {
         Ok(head) => head.configuration.limits.max_body_bytes,
         Err(_) => MAX_REFUSED_BODY_BYTES,
     };
     let announced = announced_bytes(&parts.headers).min(max_body_bytes);
     let body_guard = entry.hold_body(announced);
-    let body_guard = body_guard.ok_or_else(|| Refusal::not_run("bodies_fill_memory", SOON))?;
+    let body_guard =
+        body_guard.ok_or_else(|| Refusal::not_run(RequestEnd::BodiesFillMemory, SOON))?;
     // A refusal waits for the body too: closing a connection with unread bytes would reset it.
     let body = collect_body(body, max_body_bytes).await;
     let HeadFacts {
@@ -156,17 +157,23 @@
         route,
         team,
     } = head?;
-    trail.note_route(&configuration, &route, team.as_deref());
+    trail.note_team(team.as_deref());
     let body = body.ok_or_else(|| {
-        Refusal::caller_error(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large_or_broken")
+        Refusal::caller_error(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            RequestEnd::BodyTooLargeOrBroken,
+        )
     })?;
     let fingerprint = fingerprint(&parts.uri, &facts, &body);
     let now = Moment::now();
     if entry.poison.borrow().is_blocked(fingerprint, now) {
-        return Err(Refusal::not_run("crashes_endpoints", CRASH_RETRY_AFTER));
+        return Err(Refusal::not_run(
+            RequestEnd::CrashesEndpoints,
+            CRASH_RETRY_AFTER,
+        ));
     }
     let service = route.service(entry.random()).cloned();
-    let service = service.ok_or_else(|| Refusal::not_run("route_without_service", SOON))?;
+    let service = service.ok_or_else(|| Refusal::not_run(RequestEnd::RouteWithoutService, SOON))?;
     entry.retries.borrow_mut().earn(&service, now);
     let charge = Charge::take(entry, &facts, &route, team.clone()).await?;
     Trail::add(&trail.quota_wait, now);
@@ -239,22 +246,28 @@
     entry: &Entry,
     parts: &http::request::Parts,
     facts: &RequestFacts,
+    trail: &Trail,
 ) -> Result<HeadFacts, Refusal> {
     if facts.has_two_lengths {
         return Err(Refusal::caller_error(
             StatusCode::BAD_REQUEST,
-            "two_lengths",
+            RequestEnd::TwoLengths,
         ));
     }
     let registry = entry.registry.borrow();
     let configuration = registry.configuration().cloned();
-    let configuration = configuration.ok_or_else(|| Refusal::not_run("no_configuration", SOON))?;
+    let configuration =
+        configuration.ok_or_else(|| Refusal::not_run(RequestEnd::NoConfiguration, SOON))?;
     let route = configuration.route(&facts.host, parts.uri.path()).cloned();
     let Some(route) = route else {
-        return Err(Refusal::caller_error(StatusCode::NOT_FOUND, "no_route"));
+        return Err(Refusal::caller_error(
+            StatusCode::NOT_FOUND,
+            RequestEnd::NoRoute,
+        ));
     };
+    trail.note_route(&configuration, &route);
     if entry.is_refusing(route.kind) {
-        return Err(Refusal::not_run("stopping", Duration::ZERO));
+        return Err(Refusal::not_run(RequestEnd::Stopping, Duration::ZERO));
     }
     if route.is_open || !configuration.has_teams {
         return Ok(HeadFacts {
@@ -274,7 +287,7 @@
         }),
         None => Err(Refusal::caller_error(
             StatusCode::UNAUTHORIZED,
-            "unknown_key",
+            RequestEnd::UnknownKey,
         )),
     }
 }
@@ -285,7 +298,7 @@
     let registry = entry.registry.borrow();
     let is_keyed = configuration.has_teams && !route.is_open;
     if is_keyed && !registry.keys_are_fresh(Moment::now(), key_withdrawal) {
-        return Err(Refusal::not_run("keys_not_proved", SOON));
+        return Err(Refusal::not_run(RequestEnd::KeysNotProved, SOON));
     }
     Ok(())
 }
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, EndpointId, stream_body};
+use camphorwall::{BoxedBody, EndpointId, RequestEnd, stream_body};
 use futures_util::stream;
 use http::StatusCode;
 use hyper::Response;
@@ -20,7 +20,7 @@
     placing::{Place, PlaceRequest, Rank, candidates},
     refusal::Refusal,
     request::Admitted,
-    trail::{ANSWERED, Trail},
+    trail::Trail,
     upstream::{self, Answer, AnswerBody},
 };
 
@@ -104,7 +104,7 @@
         Err(if progress.runs > 0 {
             Refusal::timed_out()
         } else {
-            Refusal::not_run("no_place_in_time", Duration::from_secs(1))
+            Refusal::not_run(RequestEnd::NoPlaceInTime, Duration::from_secs(1))
         })
     });
     Ok(relay(entry, admitted, progress, opened?))
@@ -165,7 +165,7 @@
                 }
                 if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
                     free(entry, prefilled);
-                    return Err(give_up(progress, "endpoints_full"));
+                    return Err(give_up(progress, RequestEnd::EndpointsFull));
                 }
             }
             Outcome::NotSent => {
@@ -177,16 +177,16 @@
                 let can_repeat =
                     admitted.route.kind.may_repeat() && progress.runs < admitted.route.max_attempts;
                 if !can_repeat || !entry.take_retry(&admitted.service) {
-                    return Err(Refusal::may_have_run("no_whole_answer"));
+                    return Err(Refusal::may_have_run(RequestEnd::NoWholeAnswer));
                 }
             }
         }
     }
 }
 
-fn give_up(progress: &Progress, reason: &'static str) -> Refusal {
+fn give_up(progress: &Progress, reason: RequestEnd) -> Refusal {
     if progress.runs > 0 {
-        Refusal::may_have_run("no_whole_answer")
+        Refusal::may_have_run(RequestEnd::NoWholeAnswer)
     } else {
         Refusal::not_run(reason, Duration::from_secs(1))
     }
@@ -205,7 +205,7 @@
     let delivered = last_event_id.map_or(0, |id| id * limits.event_tokens);
     let run = expected_run(admitted, delivered);
     if u64::from(run.held_tokens) > limits.kv_capacity_tokens {
-        return Err(Refusal::not_run("larger_than_any_endpoint", NEVER));
+        return Err(Refusal::not_run(RequestEnd::LargerThanAnyEndpoint, NEVER));
     }
     let has_endpoints = {
         let registry = entry.registry.borrow();
@@ -213,7 +213,7 @@
         endpoints.any(|endpoint| !progress.excluded.contains(&endpoint.id))
     };
     if !has_endpoints {
-        return Err(give_up(progress, "no_endpoint"));
+        return Err(give_up(progress, RequestEnd::NoEndpoint));
     }
     let target = Duration::from_millis(admitted.route.target_ms);
     let on_time = target.saturating_sub(PREPARATION);
@@ -240,7 +240,7 @@
     Trail::add(&admitted.trail.place_wait, since);
     match placed {
         Ok(Some(place)) => Ok(place),
-        _ => Err(give_up(progress, "no_place_in_time")),
+        _ => Err(give_up(progress, RequestEnd::NoPlaceInTime)),
     }
 }
 
@@ -258,7 +258,8 @@
         near,
         &progress.excluded,
     );
-    let chosen = choose_plain(&candidates).ok_or_else(|| give_up(progress, "no_endpoint"))?;
+    let chosen =
+        choose_plain(&candidates).ok_or_else(|| give_up(progress, RequestEnd::NoEndpoint))?;
     Ok(Place::take(
         entry,
         Rc::clone(&endpoints[chosen]),
@@ -287,7 +288,7 @@
             if excluded.is_empty() {
                 return Ok(None);
             }
-            return Err(give_up(progress, "no_prefill"));
+            return Err(give_up(progress, RequestEnd::NoPrefill));
         };
         let endpoint = Rc::clone(&endpoints[chosen]);
         let run = Run {
@@ -296,7 +297,7 @@
         };
         let place = Place::take(entry, Rc::clone(&endpoint), run);
         if progress.prefills > 0 && !entry.take_retry(&admitted.service) {
-            return Err(give_up(progress, "retry_budget"));
+            return Err(give_up(progress, RequestEnd::RetryBudget));
         }
         progress.prefills += 1;
         let request = admitted.to_endpoint(entry, &endpoint, Stage::Prefill, None, None);
@@ -458,7 +459,7 @@
                         return Some(Err(self.cut(refusal.reason)));
                     }
                 }
-                Err(_) => return Some(Err(self.cut("timed_out"))),
+                Err(_) => return Some(Err(self.cut(RequestEnd::TimedOut))),
             }
         }
     }
@@ -475,23 +476,23 @@
         poison.note_answer(self.admitted.fingerprint);
         drop(poison);
         let outcome = if self.status.is_success() {
-            ANSWERED
+            RequestEnd::Answered
         } else {
-            "endpoint_failed"
+            RequestEnd::EndpointFailed
         };
         self.log_end(outcome);
     }
 
-    fn cut(&mut self, reason: &'static str) -> io::Error {
+    fn cut(&mut self, reason: RequestEnd) -> io::Error {
         self.log_end(reason);
         self.opened = None;
-        io::Error::other(reason)
+        io::Error::other(reason.word())
     }
 
     /// Opens the stream anew after its last whole event.
     async fn resume(&mut self, error: &io::Error) -> Result<(), Refusal> {
         let Some((place, _)) = self.opened.take() else {
-            return Err(Refusal::may_have_run("ended"));
+            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
         };
         let now = Moment::now();
         let endpoint = Rc::clone(&place.endpoint);
@@ -518,7 +519,7 @@
             poison.is_blocked(self.admitted.fingerprint, now)
         };
         if !can_repeat || is_blocked || !self.entry.take_retry(&self.admitted.service) {
-            return Err(Refusal::may_have_run("broke_off"));
+            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
         }
         let opening = open(
             &self.entry,
@@ -529,13 +530,13 @@
         let opened = compio::time::timeout(self.admitted.time_left(), opening).await;
         let opened = opened.map_err(|_| Refusal::timed_out())??;
         if !opened.parts.status.is_success() {
-            return Err(Refusal::may_have_run("resume_failed"));
+            return Err(Refusal::may_have_run(RequestEnd::ResumeFailed));
         }
         self.opened = Some((opened.place, opened.body));
         Ok(())
     }
 
-    fn log_end(&self, outcome: &'static str) {
+    fn log_end(&self, outcome: RequestEnd) {
         let status = self.status.as_u16();
         self.admitted.trail.end(status, outcome, self.events);
     }
--- a/crates/camphorwall-direct/src/trail.rs
+++ b/crates/camphorwall-direct/src/trail.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use camphorwall::{EndpointId, TeamId};
+use camphorwall::{EndpointId, RequestEnd, TeamId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -73,16 +73,15 @@
         }
     }
 
-    /// Notes what the request's head selected.
-    pub(crate) fn note_route(
-        &self,
-        configuration: &Configuration,
-        route: &Route,
-        team: Option<&Team>,
-    ) {
+    /// Notes what the request's host and path selected.
+    pub(crate) fn note_route(&self, configuration: &Configuration, route: &Route) {
         self.configuration_version.set(configuration.version);
         self.kind.set(Some(route.kind));
         self.route.replace(Some(route.name.clone()));
+    }
+
+    /// Notes the team that holds the request's key.
+    pub(crate) fn note_team(&self, team: Option<&Team>) {
         self.team.replace(team.map(|team| team.name.clone()));
     }
 
@@ -99,7 +98,7 @@
     }
 
     /// Counts the end of the request and writes its line.
-    pub(crate) fn end(&self, status: u16, outcome: &'static str, events: u32) {
+    pub(crate) fn end(&self, status: u16, outcome: RequestEnd, events: u32) {
         self.has_ended.set(true);
         let metrics = &self.entry.metrics;
         metrics.count_request(self.kind.get(), outcome);
@@ -116,7 +115,7 @@
         self.tell(status, outcome, events);
     }
 
-    fn tell(&self, status: u16, outcome: &str, events: u32) {
+    fn tell(&self, status: u16, outcome: RequestEnd, events: u32) {
         let ms = |duration: Duration| duration.as_millis();
         let name = |endpoint: &RefCell<Option<EndpointId>>| {
             let endpoint = endpoint.borrow();
@@ -125,13 +124,13 @@
                 .map(ToString::to_string)
                 .unwrap_or_default()
         };
-        let is_well = outcome == ANSWERED;
+        let is_well = outcome == RequestEnd::Answered;
         macro_rules! tell {
             ($level:ident) => {
                 tracing::$level!(
                     event = "request_ended",
                     request_id = &*self.id,
-                    outcome,
+                    outcome = outcome.word(),
                     status,
                     route = self.route.borrow().as_deref().unwrap_or_default(),
                     team = self.team.borrow().as_ref().map(tracing::field::display),
@@ -160,17 +159,11 @@
 impl Drop for Trail {
     fn drop(&mut self) {
         if !self.has_ended.get() {
-            self.end(0, CALLER_LEFT, 0);
+            self.end(0, RequestEnd::CallerLeft, 0);
         }
     }
 }
 
-/// Outcome of a request whose caller closed its connection.
-const CALLER_LEFT: &str = "caller_left";
-
-/// Outcome of a request whose whole answer was delivered.
-pub(crate) const ANSWERED: &str = "answered";
-
 /// Chooses the requests whose lines are written.
 #[derive(Debug)]
 pub(crate) struct Sampler {
--- a/crates/camphorwall/src/lib.rs
+++ b/crates/camphorwall/src/lib.rs
@@ -12,6 +12,7 @@
 mod problem;
 mod published;
 mod rendezvous;
+mod request_end;
 mod rpc;
 mod settings;
 mod tasks;
@@ -42,6 +43,7 @@
     RouteKind, Service, cross_check,
 };
 pub use rendezvous::{rendezvous_rank, rendezvous_winner};
+pub use request_end::RequestEnd;
 pub use rpc::{PeerResponse, RpcClient, RpcError, RpcServer};
 pub use settings::{
     EndpointSettings, EntrySettings, LeaseSettings, PrefixBelief, Role, RoutingPolicy,
