Follow the store with one watch of all keys

Cause: two watches cost twice the calls, and the one of three seconds noticed a silent connection later than the promises allow.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -431,8 +431,7 @@
     let entry = Entry::new(settings, settings_path, dialect, log);
     tracing::info!(event = "started", instance = %entry.settings().instance);
     let background = &entry.tasks;
-    background.spawn(follow::follow_configuration(Rc::clone(&entry)));
-    background.spawn(follow::follow_endpoints(Rc::clone(&entry)));
+    background.spawn(follow::follow(Rc::clone(&entry)));
     background.spawn(placing::give_places(Rc::clone(&entry)));
     background.spawn(peers::send_words(Rc::clone(&entry), socket.clone()));
     background.spawn(peers::receive_words(Rc::clone(&entry), socket.clone()));
--- a/crates/camphorwall-direct/src/follow.rs
+++ b/crates/camphorwall-direct/src/follow.rs
@@ -14,12 +14,13 @@
     upstream,
 };
 
-/// How long the store may hold a call that waits for changes of the configuration. Each answer renews the proof that
-/// the configuration in force is the newest, which must be younger than the bound for withdrawn keys.
-const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+/// How long the store may hold a call that waits for changes. Each answer renews the proof that the configuration in
+/// force is the newest, as of when the call was sent; two waits must fit into the bound for withdrawn keys. A call whose
+/// connection has gone silent is noticed after this time.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
-/// How long the store may hold a call that waits for changes of endpoints.
-const ENDPOINTS_WAIT: Duration = Duration::from_secs(3);
+/// Pause after changes, so that many in a row come in one answer.
+const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest time for the store's own work on a call.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -49,72 +50,31 @@
     }
 }
 
-/// What one follower does with the items below its prefix.
-struct Duty {
-    name: &'static str,
-    prefix: &'static str,
-    wait: Duration,
-    apply: fn(&Entry, &StoreItem),
-    /// Called with the keys of a whole list and the revision that it began at.
-    listed: fn(&Entry, &[Box<str>], u64),
-    /// Called with the moment at which a call was sent that has brought all changes until then.
-    proved: fn(&Entry, Moment),
-}
-
-/// Follows the configuration until the entry's tasks are dropped.
-pub(crate) async fn follow_configuration(entry: Rc<Entry>) {
-    let duty = Duty {
-        name: "configuration",
-        prefix: entry.dialect.store.configuration_prefix,
-        wait: CONFIGURATION_WAIT,
-        apply: apply_configuration,
-        listed: |_, _, _| {},
-        proved: |entry, moment| entry.registry.borrow_mut().prove(moment),
-    };
-    follow(&entry, &duty).await;
-}
-
-/// Follows the endpoints' registrations until the entry's tasks are dropped.
-pub(crate) async fn follow_endpoints(entry: Rc<Entry>) {
-    let duty = Duty {
-        name: "endpoints",
-        prefix: entry.dialect.store.endpoints_prefix,
-        wait: ENDPOINTS_WAIT,
-        apply: apply_endpoint,
-        listed: |entry, keys, revision| {
-            let ids: Vec<_> = keys
-                .iter()
-                .filter_map(|key| endpoint_id(entry, key))
-                .collect();
-            let mut registry = entry.registry.borrow_mut();
-            registry.keep_only(&ids, revision, Moment::now());
-        },
-        proved: |_, _| {},
-    };
-    follow(&entry, &duty).await;
-}
-
-async fn follow(entry: &Rc<Entry>, duty: &Duty) {
+/// Follows the configuration and the endpoints' registrations until the entry's tasks are dropped.
+pub(crate) async fn follow(entry: Rc<Entry>) {
     let mut revision = None;
     let mut is_lost = false;
     loop {
         let sent_at = Moment::now();
         let step = match revision {
-            None => list(entry, duty).await,
-            Some(revision) => watch(entry, duty, revision).await,
+            None => list_all(&entry).await,
+            Some(revision) => watch(&entry, revision).await,
         };
         match step {
             Ok(next) => {
-                (duty.proved)(entry, sent_at);
+                entry.registry.borrow_mut().prove(sent_at);
                 if is_lost {
-                    tracing::info!(event = "store_regained", what = duty.name, revision = next);
+                    tracing::info!(event = "store_regained", revision = next);
                 }
                 is_lost = false;
+                if revision != Some(next) {
+                    entry.placed.changed();
+                    compio::time::sleep(CHANGES_PAUSE).await;
+                }
                 revision = Some(next);
-                entry.placed.changed();
             }
             Err(StoreError::HistoryLost) => {
-                tracing::info!(event = "store_history_lost", what = duty.name);
+                tracing::info!(event = "store_history_lost");
                 entry
                     .registry
                     .borrow_mut()
@@ -123,7 +83,7 @@
             }
             Err(StoreError::Failed(error)) => {
                 if !is_lost {
-                    tracing::warn!(event = "store_lost", what = duty.name, error);
+                    tracing::warn!(event = "store_lost", error);
                 }
                 is_lost = true;
                 entry
@@ -133,48 +93,70 @@
                 compio::time::sleep(RETRY_PAUSE).await;
             }
         }
-        let lapsed = entry.registry.borrow_mut().drop_lapsed(Moment::now());
-        for endpoint in lapsed {
-            tracing::info!(event = "endpoint_changed", %endpoint, change = %EndpointChange::Removed);
-            entry.suspicions.borrow_mut().forget(&endpoint);
-        }
+        drop_lapsed(&entry);
     }
 }
 
-/// Reads all items below the prefix; returns the revision from which to watch.
-async fn list(entry: &Rc<Entry>, duty: &Duty) -> Result<u64, StoreError> {
+fn drop_lapsed(entry: &Entry) {
+    let lapsed = entry.registry.borrow_mut().drop_lapsed(Moment::now());
+    for endpoint in lapsed {
+        tracing::info!(event = "endpoint_changed", %endpoint, change = %EndpointChange::Removed);
+        entry.suspicions.borrow_mut().forget(&endpoint);
+    }
+}
+
+/// Lists everything; returns the revision from which to watch.
+async fn list_all(entry: &Entry) -> Result<u64, StoreError> {
+    let store = &entry.dialect.store;
+    // Changes between the two lists lie after the first one's revision, so the watch brings them.
+    let (_, revision) = list(entry, store.configuration_prefix, apply_configuration).await?;
+    let (keys, listed_at) = list(entry, store.endpoints_prefix, apply_endpoint).await?;
+    let ids: Vec<_> = keys
+        .iter()
+        .filter_map(|key| endpoint_id(entry, key))
+        .collect();
+    let mut registry = entry.registry.borrow_mut();
+    registry.keep_only(&ids, listed_at, Moment::now());
+    Ok(revision)
+}
+
+/// Reads all items below a prefix; returns their keys and the revision at which the list began.
+async fn list(
+    entry: &Entry,
+    prefix: &str,
+    apply: fn(&Entry, &StoreItem),
+) -> Result<(Vec<Box<str>>, u64), StoreError> {
     let store = &entry.dialect.store;
     let mut keys: Vec<Box<str>> = Vec::new();
     let mut first_revision = None;
     loop {
-        let path = (store.list_path)(duty.prefix, keys.last().map(AsRef::as_ref));
+        let path = (store.list_path)(prefix, keys.last().map(AsRef::as_ref));
         let body = call(entry.settings().store_address, &path, ANSWER_TIMEOUT).await?;
         let page: Page = (store.page)(&body).map_err(StoreError::Failed)?;
         let revision = *first_revision.get_or_insert(page.revision);
         for item in page.items {
-            (duty.apply)(entry, &item);
+            apply(entry, &item);
             keys.push(item.key);
         }
         if !page.has_more {
-            (duty.listed)(entry, &keys, revision);
-            return Ok(revision);
+            return Ok((keys, revision));
         }
     }
 }
 
-/// Waits for changes; returns the revision to go on from.
-async fn watch(entry: &Rc<Entry>, duty: &Duty, after: u64) -> Result<u64, StoreError> {
+/// Waits for changes of all items; returns the revision to go on from.
+async fn watch(entry: &Entry, after: u64) -> Result<u64, StoreError> {
     let store = &entry.dialect.store;
-    let path = (store.watch_path)(duty.prefix, after, duty.wait);
-    let body = call(
-        entry.settings().store_address,
-        &path,
-        duty.wait + ANSWER_TIMEOUT,
-    )
-    .await?;
+    let path = (store.watch_path)("", after, WATCH_WAIT);
+    let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
+    let body = call(entry.settings().store_address, &path, timeout).await?;
     let changes: Changes = (store.changes)(&body).map_err(StoreError::Failed)?;
     for item in &changes.items {
-        (duty.apply)(entry, item);
+        if item.key.starts_with(store.endpoints_prefix) {
+            apply_endpoint(entry, item);
+        } else if item.key.starts_with(store.configuration_prefix) {
+            apply_configuration(entry, item);
+        }
     }
     Ok(changes.revision.max(after))
 }
