Take an answered wait of the store as proof up to the end of the wait

Cause: in an outage of the whole store keyed routes closed up to three seconds after the last change could be known, since a watch of 1.5 s proved only its start.

--- a/crates/camphorwall-direct/src/follow.rs
+++ b/crates/camphorwall-direct/src/follow.rs
@@ -15,8 +15,7 @@
 };
 
 /// How long the store may hold a call that waits for changes. Each answer renews the proof that the configuration in
-/// force is the newest, as of when the call was sent; two waits must fit into the bound for withdrawn keys. A call whose
-/// connection has gone silent is noticed after this time.
+/// force is the newest. A call whose connection has gone silent is noticed after this time.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause after changes, so that many in a row come in one answer.
@@ -50,19 +49,44 @@
     }
 }
 
+/// What a successful step of the follower brought.
+struct Step {
+    /// Revision to go on from.
+    revision: u64,
+    /// Moment up to which all changes are known.
+    proved_at: Moment,
+}
+
+/// Moment that a watch proves. An answer without changes was made once the wait was over, which began after the call was
+/// sent; any other may have been made at once.
+pub(crate) fn proved_by(
+    sent_at: Moment,
+    is_empty: bool,
+    elapsed: Duration,
+    wait: Duration,
+) -> Moment {
+    if is_empty && elapsed >= wait {
+        sent_at + wait
+    } else {
+        sent_at
+    }
+}
+
 /// Follows the configuration and the endpoints' registrations until the entry's tasks are dropped.
 pub(crate) async fn follow(entry: Rc<Entry>) {
     let mut revision = None;
     let mut is_lost = false;
     loop {
-        let sent_at = Moment::now();
         let step = match revision {
             None => list_all(&entry).await,
             Some(revision) => watch(&entry, revision).await,
         };
         match step {
-            Ok(next) => {
-                entry.registry.borrow_mut().prove(sent_at);
+            Ok(Step {
+                revision: next,
+                proved_at,
+            }) => {
+                entry.registry.borrow_mut().prove(proved_at);
                 if is_lost {
                     tracing::info!(event = "store_regained", revision = next);
                 }
@@ -105,9 +129,10 @@
     }
 }
 
-/// Lists everything; returns the revision from which to watch.
-async fn list_all(entry: &Entry) -> Result<u64, StoreError> {
+/// Lists everything.
+async fn list_all(entry: &Entry) -> Result<Step, StoreError> {
     let store = &entry.dialect.store;
+    let proved_at = Moment::now();
     // Changes between the two lists lie after the first one's revision, so the watch brings them.
     let (_, revision) = list(entry, store.configuration_prefix, apply_configuration).await?;
     let (keys, listed_at) = list(entry, store.endpoints_prefix, apply_endpoint).await?;
@@ -117,7 +142,10 @@
         .collect();
     let mut registry = entry.registry.borrow_mut();
     registry.keep_only(&ids, listed_at, Moment::now());
-    Ok(revision)
+    Ok(Step {
+        revision,
+        proved_at,
+    })
 }
 
 /// Reads all items below a prefix; returns their keys and the revision at which the list began.
@@ -144,9 +172,10 @@
     }
 }
 
-/// Waits for changes of all items; returns the revision to go on from.
-async fn watch(entry: &Entry, after: u64) -> Result<u64, StoreError> {
+/// Waits for changes of all items.
+async fn watch(entry: &Entry, after: u64) -> Result<Step, StoreError> {
     let store = &entry.dialect.store;
+    let sent_at = Moment::now();
     let path = (store.watch_path)("", after, WATCH_WAIT);
     let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
     let body = call(entry.settings().store_address, &path, timeout).await?;
@@ -158,7 +187,11 @@
             apply_configuration(entry, item);
         }
     }
-    Ok(changes.revision.max(after))
+    let elapsed = Moment::now().since(sent_at);
+    Ok(Step {
+        revision: changes.revision.max(after),
+        proved_at: proved_by(sent_at, changes.items.is_empty(), elapsed, WATCH_WAIT),
+    })
 }
 
 async fn call(store: SocketAddr, path: &str, timeout: Duration) -> Result<Bytes, StoreError> {
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -38,6 +38,8 @@
 #[cfg(test)]
 mod events_tests;
 #[cfg(test)]
+mod follow_tests;
+#[cfg(test)]
 mod peers_tests;
 #[cfg(test)]
 mod poison_tests;
