--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -70,6 +70,9 @@
 /// Pause before an endpoint that broke off a request is asked whether it still runs.
 const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(20);
 
+/// What a stream's length may exceed its estimate by, as a factor.
+const LENGTH_MARGIN: f64 = 1.3;
+
 /// How often a leaving entry looks whether its work has ended.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
@@ -149,6 +152,10 @@
     log: Option<LogRing>,
     random: RefCell<SmallRng>,
     phase: Cell<Phase>,
+    /// End of the time to stop, once the order came.
+    ends_at: Cell<Option<Moment>>,
+    /// Time that a token of a stream takes.
+    token_pace: Cell<Option<Duration>>,
     active: Cell<usize>,
 }
 
@@ -174,6 +181,15 @@
     }
 }
 
+/// Whether a stream of an estimated length is likely to outlast a process.
+///
+/// The load that this answers: a rolling restart, in which a stream that is refused at once finds another entry and one
+/// that is cut has cost its caller seconds.
+pub(crate) fn outlasts(tokens: u64, pace: Option<Duration>, left: Duration) -> bool {
+    let seconds = tokens as f64 * pace.unwrap_or_default().as_secs_f64();
+    seconds * LENGTH_MARGIN > left.as_secs_f64()
+}
+
 fn retry_bounds(settings: &DirectSettings) -> RetryBounds {
     RetryBounds {
         share: settings.bounds.retry_share(),
@@ -212,6 +228,8 @@
             log,
             random: RefCell::new(random),
             phase: Cell::new(Phase::Serving),
+            ends_at: Cell::new(None),
+            token_pace: Cell::new(None),
             active: Cell::new(0),
         })
     }
@@ -273,14 +291,36 @@
     }
 
     /// Whether a new request is refused because its answer may outlast the process.
-    pub(crate) fn is_refusing(&self, kind: RouteKind) -> bool {
+    pub(crate) fn is_refusing(&self, kind: RouteKind, output_estimate_tokens: Option<u64>) -> bool {
         match (self.phase.get(), kind) {
-            (Phase::Serving | Phase::Leaving, _) => false,
+            (Phase::Leaving, RouteKind::Stream { .. }) => {
+                let left = self
+                    .ends_at
+                    .get()
+                    .map(|ends_at| ends_at.since(Moment::now()));
+                let pace = self.token_pace.get();
+                outlasts(
+                    output_estimate_tokens.unwrap_or(0),
+                    pace,
+                    left.unwrap_or_default(),
+                )
+            }
             (Phase::Ending, kind) => matches!(kind, RouteKind::Stream { .. }),
+            (Phase::Serving | Phase::Leaving, _) => false,
             (Phase::Refusing, _) => true,
         }
     }
 
+    /// Notes how long a whole stream took for its tokens.
+    pub(crate) fn note_pace(&self, tokens: u32, time: Duration) {
+        if tokens > 0 {
+            let pace = time / tokens;
+            let known = self.token_pace.get();
+            let next = known.map_or(pace, |known| known.mul_f64(0.9) + pace.mul_f64(0.1));
+            self.token_pace.set(Some(next));
+        }
+    }
+
     /// Takes a repeat from this entry's part of the fleet's budget.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let entries = self.peers.borrow().count();
@@ -374,6 +414,7 @@
                 .bounds
                 .shutdown()
                 .saturating_sub(EXIT_MARGIN);
+        self.ends_at.set(Some(deadline));
         self.phase.set(Phase::Leaving);
         compio::time::sleep(LEAVE_GRACE).await;
         self.phase.set(Phase::Ending);
--- /dev/null
+++ b/crates/camphorwall-direct/src/entry_tests.rs
@@ -0,0 +1,28 @@
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::entry::outlasts;
+
+#[rstest]
+#[case::short(1_000, 7_000, false)]
+#[case::just_fits(5_000, 7_000, false)]
+#[case::too_long(9_000, 7_000, true)]
+#[case::late(5_000, 4_000, true)]
+#[case::without_an_estimate(0, 10, false)]
+fn a_stream_that_would_outlast_the_process_is_refused_at_once(
+    #[case] tokens: u64,
+    #[case] left_ms: u64,
+    #[case] expected: bool,
+) {
+    let pace = Some(Duration::from_millis(1));
+    assert_eq!(
+        outlasts(tokens, pace, Duration::from_millis(left_ms)),
+        expected
+    );
+}
+
+#[test]
+fn nothing_is_refused_while_no_pace_is_known() {
+    assert!(!outlasts(1_000_000, None, Duration::from_secs(1)));
+}
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -7,9 +7,15 @@
 
 use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint, quota::ToldAccount};
 
-/// Time between two words to a peer. Placements of other entries are unknown for about this long.
+/// Shortest time between two words to a peer. Placements of other entries are unknown for about this long.
 const WORD_PERIOD: Duration = Duration::from_millis(40);
 
+/// Time for each known peer that is added to the period beyond a few, so that an entry's words don't grow with the fleet.
+const WORD_PERIOD_PER_PEER: Duration = Duration::from_millis(8);
+
+/// Longest time between two words to a peer, below the time after which it counts as silent.
+const LONGEST_WORD_PERIOD: Duration = Duration::from_millis(240);
+
 /// Time without a word after which a peer counts as silent; some words are lost.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
 
@@ -171,7 +177,8 @@
 pub(crate) async fn send_words(entry: Rc<Entry>, socket: UdpSocket) {
     loop {
         send_word(&entry, &socket, false).await;
-        compio::time::sleep(WORD_PERIOD).await;
+        let peers = entry.peers.borrow().known.len();
+        compio::time::sleep(word_period(peers)).await;
         forget_ended(&entry);
     }
 }
@@ -183,6 +190,15 @@
     }
 }
 
+/// Time between two words to each of some peers.
+pub(crate) fn word_period(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    WORD_PERIOD_PER_PEER
+        .saturating_mul(peers)
+        .max(WORD_PERIOD)
+        .min(LONGEST_WORD_PERIOD)
+}
+
 async fn send_word(entry: &Entry, socket: &UdpSocket, is_ending: bool) {
     let (addresses, word) = {
         let now = Moment::now();
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -1,6 +1,9 @@
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{clock::Moment, peers::Peers};
+use crate::{
+    clock::Moment,
+    peers::{Peers, word_period},
+};
 
 const KEYS_END: Duration = Duration::from_secs(6);
 
@@ -40,3 +43,14 @@
     peers.add_seeds(&seeds(4));
     assert_eq!(peers.count(), 4);
 }
+
+#[test]
+fn words_of_an_entry_do_not_grow_with_a_fleet_of_tens() {
+    let per_s = |peers: usize| peers as f64 / word_period(peers).as_secs_f64();
+    assert!((per_s(3) - 75.0).abs() < 1e-9);
+    assert!(per_s(30) <= 130.0);
+    assert!(
+        word_period(1_000) < Duration::from_millis(500),
+        "a peer would count as silent"
+    );
+}
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -266,7 +266,7 @@
         ));
     };
     trail.note_route(&configuration, &route);
-    if entry.is_refusing(route.kind) {
+    if entry.is_refusing(route.kind, facts.output_estimate_tokens) {
         return Err(Refusal::not_run(RequestEnd::Stopping, Duration::ZERO));
     }
     if route.is_open || !configuration.has_teams {
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -468,6 +468,9 @@
         let generated = self.events * self.event_tokens;
         let estimated = expected_run(&self.admitted, 0).left_tokens;
         self.entry.metrics.note_estimate(estimated, generated);
+        let first = self.admitted.trail.first.get().unwrap_or_default();
+        let whole = Moment::now().since(self.admitted.arrived_at);
+        self.entry.note_pace(generated, whole.saturating_sub(first));
         if let Some((place, _)) = &self.opened {
             let mut suspicions = self.entry.suspicions.borrow_mut();
             suspicions.note_success(&place.endpoint.id, Moment::now());
