--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -39,15 +39,15 @@
 
 /// What an entry tells its peers.
 #[derive(Debug, Deserialize, Serialize)]
-struct Word {
-    incarnation: u64,
+pub(crate) struct Word {
+    pub(crate) incarnation: u64,
     /// Whether this is the last word: the entry's work has ended.
-    is_ending: bool,
-    peers: Vec<SocketAddr>,
-    accounts: Vec<ToldAccount>,
-    work: Vec<(u64, Run)>,
+    pub(crate) is_ending: bool,
+    pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) accounts: Vec<ToldAccount>,
+    pub(crate) work: Vec<(u64, Run)>,
     /// Requests during which an endpoint crashed: a number that grows, and the fingerprint.
-    crashes: Vec<(u64, u64)>,
+    pub(crate) crashes: Vec<(u64, u64)>,
 }
 
 #[derive(Debug)]
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     clock::Moment,
-    peers::{Peers, word_period},
+    loads::Run,
+    peers::{Peers, Word, word_period},
+    quota::Quotas,
+    testing::{at_ms, team},
 };
 
 const KEYS_END: Duration = Duration::from_secs(6);
@@ -54,3 +57,37 @@
         "a peer would count as silent"
     );
 }
+
+/// Bytes of a word of an entry with some runs under way, teams and peers.
+fn word_bytes(runs: usize, teams: usize, peers: u8) -> usize {
+    let mut quotas = Quotas::default();
+    for number in 0..teams {
+        let mut team = team(1e5, 1e5);
+        team.name = format!("team-{number}").parse().expect("a name");
+        quotas.offer(&team, 1.0, 1.0, Duration::ZERO, at_ms(0));
+    }
+    let run = Run {
+        held_tokens: 7_000,
+        left_tokens: 4_000,
+    };
+    let word = Word {
+        incarnation: u64::MAX / 3,
+        is_ending: false,
+        peers: seeds(peers),
+        accounts: quotas.told(1.0, at_ms(0)),
+        work: (0..runs as u64)
+            .map(|number| (u64::MAX / (number + 2), run))
+            .collect(),
+        crashes: Vec::new(),
+    };
+    postcard::to_stdvec(&word).expect("a word").len()
+}
+
+#[test]
+fn a_usual_word_fits_one_packet() {
+    let usual = word_bytes(20, 5, 3);
+    let large = word_bytes(40, 16, 16);
+    println!("20 runs, 5 teams, 3 peers: {usual} B; 40 runs, 16 teams, 16 peers: {large} B");
+    assert!(usual <= 1_400, "{usual}");
+    assert!(large <= 1_400, "{large}");
+}
