--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -86,8 +86,8 @@
             Outcome::Answered(answer) => {
                 let is_failure = answer.parts.status.is_server_error();
                 match deliver(entry, admitted, place, answer).await {
-                    Ok(response) if is_failure && can_repeat => Some(response),
-                    Ok(response) => return Ok(response),
+                    Ok(delivery) if is_failure && can_repeat => Some(delivery),
+                    Ok(delivery) => return Ok(delivery.finish(admitted)),
                     Err(_) => None,
                 }
             }
@@ -109,6 +109,7 @@
             Outcome::Lost => None,
         };
         if !can_repeat || !entry.take_retry(&admitted.service) {
+            let failure = failure.map(|delivery| delivery.finish(admitted));
             return failure.ok_or_else(|| Refusal::may_have_run(RequestEnd::NoWholeAnswer));
         }
         tracing::debug!(
@@ -157,13 +158,33 @@
     choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
 }
 
+/// An answer on its way to the caller.
+struct Delivery {
+    response: Response<BoxedBody>,
+    /// Whether the body is here whole; otherwise the body itself notes the request's end.
+    is_whole: bool,
+}
+
+impl Delivery {
+    /// The answer as the request's last one.
+    fn finish(self, admitted: &Admitted) -> Response<BoxedBody> {
+        if self.is_whole {
+            let status = self.response.status();
+            admitted
+                .trail
+                .end(status.as_u16(), answer_outcome(status), 0);
+        }
+        self.response
+    }
+}
+
 /// Reads an answer whole, so that one that breaks off can be replaced; passes a large one on as it comes.
 async fn deliver(
     entry: &Entry,
     admitted: &Rc<Admitted>,
     place: Place,
     answer: Answer,
-) -> io::Result<Response<BoxedBody>> {
+) -> io::Result<Delivery> {
     let Answer {
         mut parts,
         mut body,
@@ -180,15 +201,19 @@
     }
     remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
+    admitted.trail.note_first();
     if begun.is_whole {
-        admitted
-            .trail
-            .end(parts.status.as_u16(), answer_outcome(parts.status), 0);
         parts.headers.remove(header::CONTENT_LENGTH);
-        return Ok(Response::from_parts(parts, full_body(begun.bytes)));
+        return Ok(Delivery {
+            response: Response::from_parts(parts, full_body(begun.bytes)),
+            is_whole: true,
+        });
     }
     let rest = rest(begun.bytes, body, place, Rc::clone(admitted));
-    Ok(Response::from_parts(parts, stream_body(rest)))
+    Ok(Delivery {
+        response: Response::from_parts(parts, stream_body(rest)),
+        is_whole: false,
+    })
 }
 
 /// Word for logs for an endpoint's own answer.
