--- /dev/null
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -0,0 +1,496 @@
+//! A small deterministic emulator of the two pools, and the days that are heaviest for them: bursts of 2.3 times the
+//! usual load, a third of the decode engines lost, prompts and answers of very unequal sizes.
+//!
+//! Engines are those of the users' sheet: memory of 106,978 tokens, 12 runs, a step that takes longer with each run,
+//! prompts read at 55.6 tokens a millisecond, a KV cache that lives for half a second.
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    choice::{Candidate, choose_decode, choose_prefill},
+    loads::Run,
+};
+
+const TICK_MS: u64 = 10;
+const DAY_MS: u64 = 40_000;
+const TARGET_MS: u64 = 900;
+/// Time before the target after which a place comes too late.
+const PREPARATION_MS: u64 = 250;
+const KV_LIFE_MS: u64 = 500;
+const CAPACITY_TOKENS: u64 = 106_978;
+const SLOTS: u32 = 12;
+const MAX_OUTPUT_TOKENS: u32 = 9_360;
+const EVENT_TOKENS: u32 = 72;
+const PROMPT_TOKENS_PER_MS: f64 = 55.6;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    /// The product's: a decode place by forecast, then the prefill.
+    Forecast,
+    /// A place for the prompt and the most tokens of the answer, then the prefill.
+    HoldMaximum,
+    /// Prefill at once, then the better of two random decode engines.
+    RandomTwo,
+    /// The product's forecast without an end of the wait.
+    NeverRefuse,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    at_ms: u64,
+    prompt: u32,
+    output: u32,
+    estimate: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    request: usize,
+    held: f64,
+    left: f64,
+    unreported: f64,
+    run: Run,
+    /// A preempted run is read in again until this time.
+    resumes_ms: u64,
+}
+
+#[derive(Default)]
+struct Decode {
+    runs: Vec<Running>,
+    /// Places that are given and whose prefill is under way.
+    placed: Vec<(usize, Run)>,
+    is_lost: bool,
+}
+
+#[derive(Default)]
+struct Prefill {
+    /// Requests with the tokens that are left to read.
+    queue: Vec<(usize, f64)>,
+}
+
+#[derive(Debug, Default)]
+struct Result {
+    asked: usize,
+    on_time: usize,
+    largest_asked: usize,
+    largest_on_time: usize,
+    read_tokens: u64,
+    /// Of prompts whose KV cache nobody took.
+    lapsed_tokens: u64,
+    /// Of prompts that were read once more after their run gave its memory up.
+    preempted_tokens: u64,
+    refused_with_room: usize,
+}
+
+impl Result {
+    fn share(&self) -> f64 {
+        self.on_time as f64 / self.asked as f64
+    }
+
+    fn lapsed_share(&self) -> f64 {
+        self.lapsed_tokens as f64 / self.read_tokens as f64
+    }
+
+    fn preempted_share(&self) -> f64 {
+        self.preempted_tokens as f64 / self.read_tokens as f64
+    }
+}
+
+/// A factor with a median of one and the spread of the users' sheet.
+fn spread(random: &mut ChaCha8Rng) -> f64 {
+    let sum: f64 = (0..12).map(|_| random.random::<f64>()).sum();
+    (0.47 * (sum - 6.0)).exp()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped to the range"
+)]
+fn clamped(tokens: f64, most: f64) -> u32 {
+    tokens.clamp(100.0, most) as u32
+}
+
+fn arrivals(seed: u64, per_s: f64) -> Vec<Request> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut requests = Vec::new();
+    for at_ms in 0..DAY_MS {
+        let is_burst = matches!(at_ms / 1_000, 6..11 | 17..21 | 27..31);
+        let rate = if is_burst { per_s * 2.3 } else { per_s };
+        if random.random::<f64>() < rate / 1_000.0 {
+            let output = clamped(4_600.0 * spread(&mut random), f64::from(MAX_OUTPUT_TOKENS));
+            // Right at the median, often far off.
+            let estimate = f64::from(output) * spread(&mut random);
+            requests.push(Request {
+                at_ms,
+                prompt: clamped(4_600.0 * spread(&mut random), 11_000.0),
+                output,
+                estimate: clamped(estimate, f64::from(MAX_OUTPUT_TOKENS)),
+            });
+        }
+    }
+    requests
+}
+
+struct World {
+    policy: Policy,
+    requests: Vec<Request>,
+    decode: Vec<Decode>,
+    prefill: Vec<Prefill>,
+    waiting: Vec<usize>,
+    /// Read prompts that wait for a decode engine, with the time at which they lapse.
+    ready: Vec<(usize, u64)>,
+    random: ChaCha8Rng,
+    result: Result,
+    on_time: Vec<bool>,
+}
+
+impl World {
+    fn expected(&self, index: usize) -> Run {
+        let request = self.requests[index];
+        Run {
+            held_tokens: request.prompt,
+            left_tokens: match self.policy {
+                Policy::HoldMaximum => MAX_OUTPUT_TOKENS,
+                _ => request.estimate,
+            },
+        }
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let candidate = |engine: &Decode| Candidate {
+            runs: engine
+                .runs
+                .iter()
+                .map(|running| running.run)
+                .chain(engine.placed.iter().map(|placed| placed.1))
+                .collect(),
+            slots: SLOTS,
+            is_near: true,
+            is_unreachable: engine.is_lost,
+            failure_share: 0.0,
+        };
+        self.decode.iter().map(candidate).collect()
+    }
+
+    fn read(&mut self, index: usize) {
+        let waiting = |engine: &Prefill| Candidate {
+            runs: engine
+                .queue
+                .iter()
+                .map(|(request, _)| self.expected(*request))
+                .collect(),
+            is_near: true,
+            ..Candidate::default()
+        };
+        let candidates: Vec<_> = self.prefill.iter().map(waiting).collect();
+        let prompt = self.requests[index].prompt;
+        let chosen = choose_prefill(&candidates, prompt).expect("a prefill engine");
+        self.prefill[chosen].queue.push((index, f64::from(prompt)));
+        self.result.read_tokens += u64::from(prompt);
+    }
+
+    fn place_waiting(&mut self, now_ms: u64) {
+        let mut still = Vec::new();
+        let mut is_blocked = false;
+        for index in std::mem::take(&mut self.waiting) {
+            let waited_ms = now_ms - self.requests[index].at_ms;
+            if self.policy != Policy::NeverRefuse && waited_ms > TARGET_MS - PREPARATION_MS {
+                let candidates = self.candidates();
+                let run = self.expected(index);
+                let has_room = choose_decode(&candidates, run, CAPACITY_TOKENS, 1.0).is_some();
+                self.result.refused_with_room += usize::from(has_room);
+                continue;
+            }
+            let run = self.expected(index);
+            let chosen = if is_blocked {
+                None
+            } else {
+                choose_decode(&self.candidates(), run, CAPACITY_TOKENS, 1.0)
+            };
+            if let Some(engine) = chosen {
+                self.decode[engine].placed.push((index, run));
+                self.read(index);
+            } else {
+                is_blocked = true;
+                still.push(index);
+            }
+        }
+        self.waiting = still;
+    }
+
+    fn start(&mut self, index: usize, engine: usize, now_ms: u64) {
+        let request = self.requests[index];
+        self.on_time[index] = now_ms - request.at_ms <= TARGET_MS;
+        let run = self.expected(index);
+        self.decode[engine].runs.push(Running {
+            request: index,
+            held: f64::from(request.prompt),
+            left: f64::from(request.output),
+            unreported: 0.0,
+            run,
+            resumes_ms: 0,
+        });
+    }
+
+    fn read_prompts(&mut self, now_ms: u64) {
+        for number in 0..self.prefill.len() {
+            let mut budget = PROMPT_TOKENS_PER_MS * TICK_MS as f64;
+            while let Some((index, left)) = self.prefill[number].queue.first_mut() {
+                let index = *index;
+                let read = left.min(budget);
+                *left -= read;
+                budget -= read;
+                if *left > 0.0 {
+                    break;
+                }
+                self.prefill[number].queue.remove(0);
+                self.ready.push((index, now_ms + KV_LIFE_MS));
+            }
+        }
+    }
+
+    fn fits_now(&self, index: usize, engine: usize) -> bool {
+        let engine = &self.decode[engine];
+        let held: f64 = engine.runs.iter().map(|running| running.held).sum();
+        let prompt = f64::from(self.requests[index].prompt);
+        !engine.is_lost
+            && engine.runs.len() < SLOTS as usize
+            && held + prompt <= CAPACITY_TOKENS as f64
+    }
+
+    fn take_ready(&mut self, now_ms: u64) {
+        for (index, lapses_ms) in std::mem::take(&mut self.ready) {
+            let is_placed = |engine: &Decode| engine.placed.iter().any(|placed| placed.0 == index);
+            let engine = match self.policy {
+                Policy::RandomTwo => {
+                    let count = self.decode.len();
+                    let two = [
+                        self.random.random_range(0..count),
+                        self.random.random_range(0..count),
+                    ];
+                    let fewest = two
+                        .into_iter()
+                        .min_by_key(|engine| self.decode[*engine].runs.len());
+                    fewest.filter(|engine| self.fits_now(index, *engine))
+                }
+                _ => self
+                    .decode
+                    .iter()
+                    .position(is_placed)
+                    .filter(|engine| self.fits_now(index, *engine)),
+            };
+            if let Some(engine) = engine {
+                self.decode[engine]
+                    .placed
+                    .retain(|placed| placed.0 != index);
+                self.start(index, engine, now_ms);
+            } else if now_ms < lapses_ms {
+                self.ready.push((index, lapses_ms));
+            } else {
+                self.result.lapsed_tokens += u64::from(self.requests[index].prompt);
+                for engine in &mut self.decode {
+                    engine.placed.retain(|placed| placed.0 != index);
+                }
+            }
+        }
+    }
+
+    fn generate(&mut self, now_ms: u64) {
+        for engine in &mut self.decode {
+            let step_ms = 0.546 + 0.0137 * engine.runs.len() as f64;
+            let tokens = TICK_MS as f64 / step_ms;
+            for running in engine
+                .runs
+                .iter_mut()
+                .filter(|running| running.resumes_ms <= now_ms)
+            {
+                running.held += tokens.min(running.left);
+                running.left -= tokens;
+                running.unreported += tokens;
+                // Entries learn of tokens by events.
+                while running.unreported >= f64::from(EVENT_TOKENS) {
+                    running.unreported -= f64::from(EVENT_TOKENS);
+                    running.run.advance(EVENT_TOKENS);
+                }
+            }
+            engine.runs.retain(|running| running.left > 0.0);
+            while engine.runs.iter().map(|running| running.held).sum::<f64>()
+                > CAPACITY_TOKENS as f64
+            {
+                // The newest run gives its memory up and is read in again.
+                let Some(mut newest) = engine.runs.pop() else {
+                    break;
+                };
+                newest.resumes_ms = now_ms + 600;
+                let again = f64::from(self.requests[newest.request].prompt);
+                newest.left += newest.held - again;
+                newest.held = again;
+                self.result.preempted_tokens += u64::from(self.requests[newest.request].prompt);
+                engine.runs.insert(0, newest);
+                if engine.runs.len() == 1 {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Plays a day of one policy.
+fn play(policy: Policy, seed: u64, per_s: f64, lost_engines: usize) -> Result {
+    let requests = arrivals(seed, per_s);
+    let mut world = World {
+        policy,
+        on_time: vec![false; requests.len()],
+        requests,
+        decode: (0..6).map(|_| Decode::default()).collect(),
+        prefill: (0..3).map(|_| Prefill::default()).collect(),
+        waiting: Vec::new(),
+        ready: Vec::new(),
+        random: ChaCha8Rng::seed_from_u64(seed + 1),
+        result: Result::default(),
+    };
+    let mut next = 0;
+    for now_ms in (0..DAY_MS + 15_000).step_by(TICK_MS as usize) {
+        for engine in world.decode.iter_mut().take(lost_engines) {
+            engine.is_lost = (15_000..25_000).contains(&now_ms);
+            if engine.is_lost {
+                for lost in engine.runs.drain(..) {
+                    world.on_time[lost.request] = false;
+                }
+            }
+        }
+        while next < world.requests.len() && world.requests[next].at_ms <= now_ms {
+            if policy == Policy::RandomTwo {
+                world.read(next);
+            } else {
+                world.waiting.push(next);
+            }
+            next += 1;
+        }
+        world.place_waiting(now_ms);
+        world.read_prompts(now_ms);
+        world.take_ready(now_ms);
+        world.generate(now_ms);
+    }
+    let mut sizes: Vec<u32> = world
+        .requests
+        .iter()
+        .map(|request| request.prompt + request.output)
+        .collect();
+    sizes.sort_unstable();
+    let large = sizes[sizes.len() * 9 / 10];
+    let mut result = world.result;
+    result.asked = world.requests.len();
+    for (request, on_time) in world.requests.iter().zip(&world.on_time) {
+        let is_large = request.prompt + request.output >= large;
+        result.on_time += usize::from(*on_time);
+        result.largest_asked += usize::from(is_large);
+        result.largest_on_time += usize::from(is_large && *on_time);
+    }
+    result
+}
+
+/// Most requests that all engines' memory could serve, if the smallest came first and no memory ever stood empty.
+fn bound(seed: u64, per_s: f64) -> f64 {
+    let requests = arrivals(seed, per_s);
+    let footprint = |request: &Request| {
+        let (prompt, output) = (f64::from(request.prompt), f64::from(request.output));
+        (prompt + output / 2.0) * output * 0.546
+    };
+    let mut footprints: Vec<f64> = requests.iter().map(footprint).collect();
+    footprints.sort_by(f64::total_cmp);
+    let mut left = 6.0 * CAPACITY_TOKENS as f64 * (DAY_MS + 15_000) as f64;
+    let served = footprints.iter().take_while(|footprint| {
+        left -= **footprint;
+        left >= 0.0
+    });
+    served.count() as f64 / requests.len() as f64
+}
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Days of one policy, one for each seed.
+fn days(policy: Policy, per_s: f64, lost_engines: usize) -> Vec<Result> {
+    SEEDS
+        .iter()
+        .map(|seed| play(policy, *seed, per_s, lost_engines))
+        .collect()
+}
+
+fn mean(days: &[Result], of: impl Fn(&Result) -> f64) -> f64 {
+    days.iter().map(of).sum::<f64>() / days.len() as f64
+}
+
+#[test]
+fn under_bursts_the_forecast_serves_more_callers_in_time_than_the_baselines() {
+    for (per_s, lost_engines) in [(10.4, 0), (13.0, 0), (10.4, 2)] {
+        let bounds: f64 = SEEDS.iter().map(|seed| bound(*seed, per_s)).sum();
+        println!(
+            "{per_s}/s, {lost_engines} engines lost, bound {:.3}",
+            bounds / SEEDS.len() as f64
+        );
+        let shares = [
+            Policy::Forecast,
+            Policy::HoldMaximum,
+            Policy::RandomTwo,
+            Policy::NeverRefuse,
+        ]
+        .map(|policy| {
+            let days = days(policy, per_s, lost_engines);
+            let share = mean(&days, Result::share);
+            let (lapsed, preempted) = (
+                mean(&days, Result::lapsed_share),
+                mean(&days, Result::preempted_share),
+            );
+            println!(
+                "{policy:?}: in time {share:.3}, lapsed {lapsed:.4}, read again {preempted:.4}"
+            );
+            share
+        });
+        for baseline in &shares[1..] {
+            assert!(
+                shares[0] >= *baseline,
+                "{shares:?} at {per_s}/s, {lost_engines} lost"
+            );
+        }
+    }
+}
+
+#[test]
+fn hardly_a_prompt_is_read_for_nothing() {
+    for per_s in [10.4, 13.0] {
+        let lapsed = mean(&days(Policy::Forecast, per_s, 0), Result::lapsed_share);
+        assert!(lapsed < 0.01, "{lapsed} at {per_s}/s");
+    }
+}
+
+#[test]
+fn large_requests_are_not_starved() {
+    for per_s in [10.4, 20.0] {
+        let days = days(Policy::Forecast, per_s, 0);
+        let all = mean(&days, Result::share);
+        let largest = mean(&days, |day| {
+            day.largest_on_time as f64 / day.largest_asked as f64
+        });
+        assert!(
+            largest >= all / 2.0,
+            "{largest} of the largest, {all} of all at {per_s}/s"
+        );
+    }
+}
+
+#[test]
+fn nobody_is_refused_while_the_first_in_line_has_room() {
+    // Those behind a large request may be refused with room for them: it has the turn.
+    let days = days(Policy::Forecast, 10.4, 0);
+    let refused = mean(&days, |day| day.refused_with_room as f64 / day.asked as f64);
+    assert!(refused < 0.02, "{refused}");
+}
+
+#[test]
+fn at_a_usual_load_everybody_is_served_in_time() {
+    let share = mean(&days(Policy::Forecast, 5.0, 0), Result::share);
+    assert!(share > 0.97, "{share}");
+}
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -36,6 +36,8 @@
 #[cfg(test)]
 mod documentation_tests;
 #[cfg(test)]
+mod emulator_tests;
+#[cfg(test)]
 mod entry_tests;
 #[cfg(test)]
 mod events_tests;
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/loads.rs
@@ -5,6 +5,9 @@
 use camphorwall::EndpointId;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Times its last step that a run beyond its estimate is expected to go on.
+const OVERRUN_FACTOR: u32 = 4;
+
 /// Short name of an endpoint between entries.
 #[must_use]
 pub(crate) fn endpoint_key(id: &EndpointId) -> u64 {
@@ -20,6 +23,20 @@
     pub left_tokens: u32,
 }
 
+impl Run {
+    /// Notes tokens that were generated. A run beyond its estimate is expected to go on for a part of what it has
+    /// generated.
+    pub(crate) fn advance(&mut self, tokens: u32) {
+        let least = if self.left_tokens > tokens {
+            0
+        } else {
+            tokens * OVERRUN_FACTOR
+        };
+        self.held_tokens += tokens;
+        self.left_tokens = self.left_tokens.saturating_sub(tokens).max(least);
+    }
+}
+
 /// Name of a piece of own work.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct WorkId(u64);
@@ -45,14 +62,7 @@
     /// Notes tokens that own work has generated.
     pub(crate) fn advance(&mut self, id: WorkId, tokens: u32) {
         if let Some((_, run)) = self.own.get_mut(&id) {
-            run.held_tokens += tokens;
-            // A run beyond its estimate is expected to go on for a part of what it has generated.
-            let least = if run.left_tokens > tokens {
-                0
-            } else {
-                tokens * 4
-            };
-            run.left_tokens = run.left_tokens.saturating_sub(tokens).max(least);
+            run.advance(tokens);
         }
     }
 
