--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -151,6 +151,7 @@
     pub(crate) sampler: RefCell<Sampler>,
     log: Option<LogRing>,
     random: RefCell<SmallRng>,
+    was_ready: Cell<bool>,
     phase: Cell<Phase>,
     /// End of the time to stop, once the order came.
     ends_at: Cell<Option<Moment>>,
@@ -227,6 +228,7 @@
             sampler: RefCell::new(Sampler::new(Moment::now())),
             log,
             random: RefCell::new(random),
+            was_ready: Cell::new(false),
             phase: Cell::new(Phase::Serving),
             ends_at: Cell::new(None),
             token_pace: Cell::new(None),
@@ -367,15 +369,29 @@
         }
     }
 
+    /// Whether the balancer should send callers here, and notes a change.
     fn is_ready(&self) -> bool {
+        let now = Moment::now();
         let registry = self.registry.borrow();
-        let Some(configuration) = registry.configuration() else {
-            return false;
-        };
+        let configuration = registry.configuration();
         let key_withdrawal = self.settings().bounds.key_withdrawal();
-        let is_fresh = registry.keys_are_fresh(Moment::now(), key_withdrawal);
-        let may_serve = is_fresh || !configuration.has_teams;
-        !self.is_leaving() && may_serve && registry.has_endpoints()
+        let has_teams = configuration.is_some_and(|held| held.has_teams);
+        let are_keys_open = !has_teams || registry.keys_are_fresh(now, key_withdrawal);
+        let has_endpoints = registry.has_endpoints();
+        let is_leaving = self.is_leaving();
+        let is_ready = configuration.is_some() && are_keys_open && has_endpoints && !is_leaving;
+        if self.was_ready.replace(is_ready) != is_ready {
+            tracing::info!(
+                event = "readiness_changed",
+                is_ready,
+                configuration = configuration.map(|held| held.version),
+                are_keys_open,
+                proof_age_s = registry.proof_age(now).map(|age| age.as_secs_f64()),
+                has_endpoints,
+                is_leaving,
+            );
+        }
+        is_ready
     }
 
     fn answer_probe(&self) -> Response<BoxedBody> {
--- /dev/null
+++ b/crates/camphorwall/benches/log_line.rs
@@ -0,0 +1,72 @@
+//! Cost of one log line through the ring.
+
+use std::{
+    io::{self, Write},
+    time::Duration,
+};
+
+use camphorwall::LogRing;
+use divan::Bencher;
+use tracing_subscriber::fmt::MakeWriter;
+
+fn main() {
+    divan::main();
+}
+
+/// A reader that takes everything at once.
+struct Taken;
+
+impl Write for Taken {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Rings(LogRing);
+
+impl MakeWriter<'_> for Rings {
+    type Writer = LogRing;
+
+    fn make_writer(&self) -> LogRing {
+        self.0.clone()
+    }
+}
+
+fn tell(number: u64) {
+    tracing::info!(
+        event = "request_ended",
+        request_id = "9c41d07be2a35f68",
+        outcome = "answered",
+        status = 200,
+        route = "summaries",
+        place_wait_ms = number,
+        endpoint = "e-7f3a91c2",
+        runs = 1,
+        elapsed_ms = number,
+    );
+}
+
+#[divan::bench(args = ["read", "not_read"])]
+fn line(bencher: Bencher, reader: &str) {
+    let ring = LogRing::new(256 * 1024);
+    if reader == "read" {
+        ring.write_to(Taken);
+    }
+    let subscriber = tracing_subscriber::fmt()
+        .with_ansi(false)
+        .with_target(false)
+        .with_writer(Rings(ring.clone()))
+        .finish();
+    tracing::subscriber::with_default(subscriber, || {
+        let mut number = 0;
+        bencher.bench_local(|| {
+            number += 1;
+            tell(number);
+        });
+    });
+    ring.flush_within(Duration::from_millis(1));
+}
