--- a/crates/camphorwall-direct/src/emulator_tests.rs
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -352,7 +352,8 @@
         result: Result::default(),
     };
     let mut next = 0;
-    for now_ms in (0..DAY_MS + 15_000).step_by(TICK_MS as usize) {
+    let mut now_ms = 0;
+    while now_ms < DAY_MS + 15_000 {
         for engine in world.decode.iter_mut().take(lost_engines) {
             engine.is_lost = (15_000..25_000).contains(&now_ms);
             if engine.is_lost {
@@ -373,6 +374,7 @@
         world.read_prompts(now_ms);
         world.take_ready(now_ms);
         world.generate(now_ms);
+        now_ms += TICK_MS;
     }
     let mut sizes: Vec<u32> = world
         .requests
