--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -31,7 +31,7 @@
     quota::{Quotas, usable_share},
     registry::Registry,
     request,
-    retries::{Fleet, RetryBounds, RetryBudget},
+    retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
     suspicion::Suspicions,
     trail::Sampler,
@@ -325,15 +325,9 @@
 
     /// Takes a repeat from this entry's part of the fleet's budget.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
-        let now = Moment::now();
-        let fleet = {
-            let peers = self.peers.borrow();
-            Fleet {
-                entries: peers.count(),
-                are_all_heard: peers.are_all_heard(now),
-            }
-        };
-        let is_taken = self.retries.borrow_mut().take(service, fleet, now);
+        let entries = self.peers.borrow().count();
+        let mut retries = self.retries.borrow_mut();
+        let is_taken = retries.take(service, entries, Moment::now());
         self.metrics.count_repeat(is_taken);
         is_taken
     }
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -5,10 +5,7 @@
 use compio::net::UdpSocket;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    clock::Moment, entry::Entry, loads::Run, poison::Fingerprint, quota::ToldAccount,
-    retries::ToldRepeats,
-};
+use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint, quota::ToldAccount};
 
 /// Shortest time between two words to a peer. Placements of other entries are unknown for about this long.
 const WORD_PERIOD: Duration = Duration::from_millis(40);
@@ -48,7 +45,6 @@
     pub(crate) is_ending: bool,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ToldAccount>,
-    pub(crate) repeats: Vec<ToldRepeats>,
     pub(crate) work: Vec<(u64, Run)>,
     /// Requests during which an endpoint crashed: a number that grows, and the fingerprint.
     pub(crate) crashes: Vec<(u64, u64)>,
@@ -113,12 +109,6 @@
         self.known.len() + 1
     }
 
-    /// Whether all known entries were heard lately.
-    pub(crate) fn are_all_heard(&self, now: Moment) -> bool {
-        let is_heard = |peer: &Peer| now.since(peer.heard_at) <= SILENT_AFTER;
-        self.known.values().all(is_heard)
-    }
-
     /// Known entries that have not been heard lately and may still charge teams.
     ///
     /// An entry that is cut off from its peers and the store stops to take keys within the bound for withdrawn keys.
@@ -166,7 +156,6 @@
             tracing::info!(event = "peer_ended", %address);
             self.known.remove(&address);
             entry.quotas.borrow_mut().forget_peer(incarnation);
-            entry.retries.borrow_mut().forget_peer(incarnation);
             entry.loads.borrow_mut().forget_peer(incarnation);
         }
     }
@@ -222,7 +211,6 @@
             is_ending,
             peers: peers.heard(now),
             accounts: quotas.told(share, now),
-            repeats: entry.retries.borrow_mut().told(now),
             work: entry.loads.borrow().own(),
             crashes: peers.crashes(),
         };
@@ -303,7 +291,6 @@
         tracing::info!(event = "peer_found", %from, incarnation = word.incarnation);
         if let Some(ended) = peer.incarnation.replace(word.incarnation) {
             entry.quotas.borrow_mut().forget_peer(ended);
-            entry.retries.borrow_mut().forget_peer(ended);
             entry.loads.borrow_mut().forget_peer(ended);
         }
         peer.last_crash = 0;
@@ -321,8 +308,6 @@
     quotas.note_peer(word.incarnation, word.accounts, share, now);
     let mut loads = entry.loads.borrow_mut();
     loads.note_peer(word.incarnation, word.work);
-    let mut retries = entry.retries.borrow_mut();
-    retries.note_peer(word.incarnation, word.repeats);
     entry.placed.changed();
 }
 
@@ -344,7 +329,6 @@
         }
         tracing::info!(event = "peer_lost", %address);
         if let Some(incarnation) = peer.incarnation {
-            entry.retries.borrow_mut().forget_peer(incarnation);
             entry.quotas.borrow_mut().forget_peer(incarnation);
         }
         false
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -75,7 +75,6 @@
         is_ending: false,
         peers: seeds(peers),
         accounts: quotas.told(1.0, at_ms(0)),
-        repeats: Vec::new(),
         work: (0..runs as u64)
             .map(|number| (u64::MAX / (number + 2), run))
             .collect(),
