--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -29,8 +29,6 @@
     pub max_head_bytes: usize,
     /// Most bytes of a request's body.
     pub max_body_bytes: usize,
-    /// Longest time between two requests of a connection, in milliseconds.
-    pub idle_timeout_ms: u64,
 }
 
 impl Default for CallerLimits {
@@ -38,7 +36,6 @@
         Self {
             max_head_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
-            idle_timeout_ms: 15_000,
         }
     }
 }
--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -102,17 +102,6 @@
     pub has_not_run: bool,
     /// Whether the endpoint's signature is there.
     pub is_signed: bool,
-    /// Requests that run and wait at the endpoint.
-    pub load: Option<EndpointLoad>,
-}
-
-/// Load that an endpoint tells of itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct EndpointLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
 }
 
 /// A page of the store's items.
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -64,8 +64,8 @@
     CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
 };
 pub use dialect::{
-    AnswerFacts, Changes, Dialect, EndpointLoad, KvHandle, Page, ReadConfiguration, RequestFacts,
-    Sending, StoreDialect, StoreItem,
+    AnswerFacts, Changes, Dialect, KvHandle, Page, ReadConfiguration, RequestFacts, Sending,
+    StoreDialect, StoreItem,
 };
 pub use entry::{Order, StartError, remove_connection_headers, run};
 pub use settings::{Bounds, DirectSettings};
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -258,6 +258,10 @@
     let configuration = registry.configuration().cloned();
     let configuration =
         configuration.ok_or_else(|| Refusal::not_run(RequestEnd::NoConfiguration, SOON))?;
+    if head_bytes(parts) > configuration.limits.max_head_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Refusal::caller_error(status, RequestEnd::HeadTooLarge));
+    }
     let route = configuration.route(&facts.host, parts.uri.path()).cloned();
     let Some(route) = route else {
         return Err(Refusal::caller_error(
@@ -292,6 +296,18 @@
     }
 }
 
+/// Bytes of a head as it came, each field with its separators.
+fn head_bytes(parts: &http::request::Parts) -> usize {
+    const SEPARATOR_BYTES: usize = 4;
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or(1, |path| path.as_str().len());
+    let fields = parts.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + SEPARATOR_BYTES);
+    path + fields.sum::<usize>()
+}
+
 /// Keys are trusted only while the configuration is known to be the newest.
 fn check_fresh(entry: &Entry, route: &Route, configuration: &Configuration) -> Result<(), Refusal> {
     let key_withdrawal = entry.settings().bounds.key_withdrawal();
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -41,16 +41,12 @@
     pub key_withdrawal_ms: Option<u64>,
     /// Time between the order to stop and the kill, in seconds.
     pub shutdown_s: Option<f64>,
-    /// Time after a disturbance after which the promises hold again, in milliseconds.
-    pub contact_ms: Option<u64>,
     /// Repeats as a share of requests.
     pub retry_share: Option<f64>,
     /// Window over which repeats are counted, in seconds.
     pub retry_window_s: Option<f64>,
     /// Repeats in each window beyond the share.
     pub retry_allowance: Option<f64>,
-    /// Time after which a part that was read into a cache no longer counts as recent, in seconds.
-    pub retry_after_s: Option<f64>,
 }
 
 impl Bounds {
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -22,6 +22,8 @@
     EndpointFailed,
     /// All endpoints that were asked refused the request.
     EndpointsFull,
+    /// The head was larger than allowed.
+    HeadTooLarge,
     /// The configuration was not proved to be the newest in time.
     KeysNotProved,
     /// No endpoint has memory for the prompt.
@@ -91,6 +93,7 @@
             Self::EndpointsFull => {
                 "each endpoint that was asked said that it is full; it has not run"
             }
+            Self::HeadTooLarge => "the head is larger than the published limit",
             Self::KeysNotProved => {
                 "the store proved nothing for longer than a withdrawn key may be served; look for store_lost"
             }
