--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -1,4 +1,4 @@
-//! State of an entry that reaches endpoints itself, its start and its stop.
+//! State of an entry that reaches endpoints itself.
 
 use std::{
     cell::{Cell, RefCell},
@@ -7,30 +7,22 @@
     time::Duration,
 };
 
-use camphorwall::{
-    BoxedBody, HttpLimits, HttpServer, LogRing, ServiceId, TaskGroup, empty_body, stop_pair,
-};
-use compio::net::{TcpListener, UdpSocket};
-use futures_channel::mpsc;
-use futures_util::{FutureExt as _, StreamExt as _};
-use http::{HeaderMap, HeaderName, Request, StatusCode, header};
-use hyper::{Response, body::Incoming};
+use camphorwall::{BoxedBody, LogRing, ServiceId, TaskGroup, empty_body};
+use http::StatusCode;
+use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
-use snafu::{ResultExt as _, Snafu};
 
 use crate::{
     clock::Moment,
     configuration::{Endpoint, RouteKind},
     dialect::Dialect,
-    follow,
     loads::Loads,
     metrics::{Levels, Metrics},
-    peers::{self, Peers},
-    placing::{self, Placing},
+    peers::Peers,
+    placing::Placing,
     poison::{Fingerprint, Poison},
     quota::{Quotas, usable_share},
     registry::Registry,
-    request,
     retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
     suspicion::Suspicions,
@@ -38,21 +30,12 @@
     upstream::Connection,
 };
 
-/// Longest idle time of a caller's connection. Callers close earlier.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// How often the settings file is looked at; it may change without a signal.
-const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
-
 /// Memory that is assumed where the settings name no limit, in MiB.
 const DEFAULT_MEMORY_MB: usize = 256;
 
 /// Part of the memory that bodies of requests may fill, as its divisor.
 const BODY_MEMORY_PART: usize = 4;
 
-/// Files that are left for other things than callers' connections and those to endpoints.
-const RESERVED_FILES: usize = 300;
-
 /// Time after the order to stop in which new requests are still served: the balancer takes an instance out after two
 /// probes, one a second.
 const LEAVE_GRACE: Duration = Duration::from_millis(2_600);
@@ -61,7 +44,7 @@
 const SHORT_REQUEST: Duration = Duration::from_secs(2);
 
 /// Part of the time to stop that is left for the process's own end.
-const EXIT_MARGIN: Duration = Duration::from_millis(600);
+pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
 /// Time beyond the bound for withdrawn keys after which a peer that is cut off takes no keys: what it had admitted by
 /// then has been sent.
@@ -76,51 +59,6 @@
 /// How often a leaving entry looks whether its work has ended.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
-/// Fields of a head that concern one connection only.
-const CONNECTION_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
-/// Removes the fields that concern one connection only.
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS) {
-        headers.remove(name);
-    }
-}
-
-/// An entry that can't start.
-#[derive(Debug, Snafu)]
-#[snafu(display(
-    "can't listen on {address} (field {field}): {source}; choose a free address of this machine"
-))]
-pub struct StartError {
-    address: std::net::SocketAddr,
-    field: &'static str,
-    source: std::io::Error,
-}
-
-/// What a process is told from outside.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Order {
-    /// The settings file may have changed.
-    Reload,
-    /// Stop within the time of the settings.
-    Stop,
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Serving,
@@ -157,7 +95,7 @@
     ends_at: Cell<Option<Moment>>,
     /// Time that a token of a stream takes.
     token_pace: Cell<Option<Duration>>,
-    active: Cell<usize>,
+    pub(crate) active: Cell<usize>,
 }
 
 /// Counts a request as under way until it is dropped.
@@ -200,7 +138,7 @@
 }
 
 impl Entry {
-    fn new(
+    pub(crate) fn new(
         settings: DirectSettings,
         settings_path: PathBuf,
         dialect: Dialect,
@@ -242,7 +180,7 @@
     }
 
     /// Takes changed settings over; addresses stay as they are until the next start.
-    fn reload(&self) {
+    pub(crate) fn reload(&self) {
         let settings = match DirectSettings::read(&self.settings_path) {
             Ok(settings) => settings,
             Err(error) => {
@@ -394,7 +332,7 @@
         is_ready
     }
 
-    fn answer_probe(&self) -> Response<BoxedBody> {
+    pub(crate) fn answer_probe(&self) -> Response<BoxedBody> {
         let mut response = Response::new(empty_body());
         if !self.is_ready() {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -402,7 +340,7 @@
         response
     }
 
-    fn answer_scrape(&self) -> Response<BoxedBody> {
+    pub(crate) fn answer_scrape(&self) -> Response<BoxedBody> {
         let now = Moment::now();
         let registry = self.registry.borrow();
         let peers = self.peers.borrow();
@@ -423,7 +361,7 @@
         self.settings().bounds.key_withdrawal() + PEER_MARGIN
     }
 
-    async fn leave(&self) {
+    pub(crate) async fn leave(&self) {
         let deadline = Moment::now()
             + self
                 .settings()
@@ -443,104 +381,3 @@
         self.phase.set(Phase::Refusing);
     }
 }
-
-/// Takes changes of the settings file over that no signal tells of.
-async fn watch_settings(entry: Rc<Entry>) {
-    loop {
-        compio::time::sleep(SETTINGS_PERIOD).await;
-        entry.reload();
-    }
-}
-
-async fn bind(
-    address: std::net::SocketAddr,
-    field: &'static str,
-) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .context(StartSnafu { address, field })
-}
-
-/// Serves until the order to stop, then lets running work end.
-///
-/// # Errors
-/// When an address can't be bound.
-pub async fn run(
-    settings_path: PathBuf,
-    settings: DirectSettings,
-    dialect: Dialect,
-    log: Option<LogRing>,
-    mut orders: mpsc::UnboundedReceiver<Order>,
-) -> Result<(), StartError> {
-    let callers = bind(settings.caller_address, "caller_address").await?;
-    let probe_listener = bind(settings.probe_address, "probe_address").await?;
-    let address = settings.peer_address;
-    let socket = UdpSocket::bind(address).await.context(StartSnafu {
-        address,
-        field: "peer_address",
-    })?;
-    let files = settings.max_open_files.unwrap_or(1_024);
-    let limits = HttpLimits {
-        head_timeout: IDLE_TIMEOUT,
-        max_connections: files.saturating_sub(RESERVED_FILES).max(64) / 2,
-        ..HttpLimits::default()
-    };
-    let entry = Entry::new(settings, settings_path, dialect, log);
-    tracing::info!(event = "started", instance = %entry.settings().instance);
-    let background = &entry.tasks;
-    background.spawn(follow::follow(Rc::clone(&entry)));
-    background.spawn(placing::give_places(Rc::clone(&entry)));
-    background.spawn(peers::send_words(Rc::clone(&entry), socket.clone()));
-    background.spawn(peers::receive_words(Rc::clone(&entry), socket.clone()));
-    let metrics_listener = match entry.settings().metrics_address {
-        Some(address) => Some(bind(address, "metrics_address").await?),
-        None => None,
-    };
-    let (stop, stopped) = stop_pair();
-    let servers = TaskGroup::default();
-    let caller_server = HttpServer {
-        listener: callers,
-        limits,
-    };
-    let served = Rc::clone(&entry);
-    let handler = move |request: Request<Incoming>| {
-        request::answer(Rc::clone(&served), request).boxed_local()
-    };
-    servers.spawn(caller_server.serve(handler, stopped.clone()));
-    let probe_server = HttpServer {
-        listener: probe_listener,
-        limits: HttpLimits::default(),
-    };
-    let answering = Rc::clone(&entry);
-    let handler = move |_| std::future::ready(answering.answer_probe());
-    servers.spawn(probe_server.serve(handler, stopped.clone()));
-    if let Some(listener) = metrics_listener {
-        let metrics_server = HttpServer {
-            listener,
-            limits: HttpLimits::default(),
-        };
-        let measured = Rc::clone(&entry);
-        let handler = move |_| std::future::ready(measured.answer_scrape());
-        servers.spawn(metrics_server.serve(handler, stopped));
-    }
-    background.spawn(watch_settings(Rc::clone(&entry)));
-    while let Some(order) = orders.next().await {
-        match order {
-            Order::Reload => entry.reload(),
-            Order::Stop => break,
-        }
-    }
-    tracing::info!(event = "stopping", requests = entry.active.get());
-    entry.leave().await;
-    stop.stop();
-    peers::say_goodbye(&entry, &socket).await;
-    let joined = compio::time::timeout(EXIT_MARGIN / 2, servers.join()).await;
-    tracing::info!(
-        event = "stopped",
-        requests = entry.active.get(),
-        is_whole = joined.is_ok()
-    );
-    servers.abort();
-    entry.tasks.abort();
-    Ok(())
-}
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod clock;
 mod configuration;
+mod connection_headers;
 mod dialect;
 mod entry;
 mod events;
@@ -17,11 +18,13 @@
 mod placing;
 mod plain;
 mod poison;
+mod prefill;
 mod quota;
 mod refusal;
 mod registry;
 mod request;
 mod retries;
+mod run;
 mod settings;
 mod signals;
 mod stream;
@@ -63,10 +66,11 @@
 pub use configuration::{
     CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
 };
+pub use connection_headers::remove_connection_headers;
 pub use dialect::{
     AnswerFacts, Changes, Dialect, KvHandle, Page, ReadConfiguration, RequestFacts, Sending,
     StoreDialect, StoreItem,
 };
-pub use entry::{Order, StartError, remove_connection_headers, run};
+pub use run::{Order, StartError, run};
 pub use settings::{Bounds, DirectSettings};
 pub use signals::watch_signals;
--- a/crates/camphorwall-direct/src/signals.rs
+++ b/crates/camphorwall-direct/src/signals.rs
@@ -8,7 +8,7 @@
     iterator::Signals,
 };
 
-use crate::entry::Order;
+use crate::run::Order;
 
 /// Starts a thread that turns signals into orders.
 ///
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -9,19 +9,20 @@
 use hyper::Response;
 
 use crate::{
-    choice::{choose_plain, choose_prefill},
+    choice::choose_plain,
     clock::Moment,
-    configuration::{Endpoint, Stage},
-    dialect::KvHandle,
-    entry::{Entry, remove_connection_headers},
+    configuration::Stage,
+    connection_headers::remove_connection_headers,
+    entry::Entry,
     events::EventSplitter,
     loads::Run,
     outcome::{Outcome, attempt},
     placing::{Place, PlaceRequest, Rank, candidates},
+    prefill::{Prefilled, free, prefill},
     refusal::Refusal,
     request::Admitted,
     trail::Trail,
-    upstream::{self, Answer, AnswerBody},
+    upstream::{Answer, AnswerBody},
 };
 
 /// Time that a prefill and the transfer of its KV cache are expected to take; a place that is given later than this
@@ -31,51 +32,12 @@
 /// Longest time to wait for a place once the answer can't be on time.
 const LATE_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Longest time that a prefill may take; its endpoint is usually busy for a tenth of it.
-const PREFILL_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// Most tokens of a prefill's answer that is read.
-const MAX_PREFILL_BYTES: usize = 64 * 1024;
-
-/// Decode endpoints to which one KV cache is offered.
-const MAX_OFFERS: u32 = 2;
-
-/// Age up to which a KV cache is offered once more; engines keep it for a fraction of a second.
-const KV_LIFE: Duration = Duration::from_millis(350);
-
 /// When a caller may come back whose request no endpoint can hold.
 const NEVER: Duration = Duration::from_secs(60);
 
 /// Sends after refusals that one request may cause.
 const MAX_REFUSALS: u32 = 3;
 
-/// A KV cache that waits for its decode endpoint.
-struct Prefilled {
-    endpoint: Rc<Endpoint>,
-    handle: KvHandle,
-    read_at: Moment,
-    /// Decode endpoints that refused it.
-    refusals: u32,
-}
-
-impl Prefilled {
-    /// Notes that a decode endpoint refused the request; `None` when the cache is not worth another offer. Whether
-    /// the endpoint was full or the cache was gone isn't told.
-    fn offered_in_vain(mut self, entry: &Rc<Entry>) -> Option<Self> {
-        self.refusals += 1;
-        let now = Moment::now();
-        if self.refusals < MAX_OFFERS && now.since(self.read_at) < KV_LIFE {
-            return Some(self);
-        }
-        if self.refusals >= MAX_OFFERS {
-            let mut suspicions = entry.suspicions.borrow_mut();
-            suspicions.note_failure(&self.endpoint.id, now);
-        }
-        free(entry, Some(self));
-        None
-    }
-}
-
 /// A stream that has begun.
 struct Opened {
     place: Place,
@@ -85,11 +47,11 @@
 
 /// What the attempts of a request have cost so far.
 #[derive(Default)]
-struct Progress {
+pub(crate) struct Progress {
     excluded: Vec<EndpointId>,
     runs: u32,
     refusals: u32,
-    prefills: u32,
+    pub(crate) prefills: u32,
 }
 
 /// Serves a request; the stream goes on after this returns.
@@ -110,7 +72,7 @@
     Ok(relay(entry, admitted, progress, opened?))
 }
 
-fn expected_run(admitted: &Admitted, delivered_tokens: u64) -> Run {
+pub(crate) fn expected_run(admitted: &Admitted, delivered_tokens: u64) -> Run {
     let facts = &admitted.facts;
     let most = facts.max_output_tokens.unwrap_or(u64::from(u32::MAX));
     let estimate = facts.output_estimate_tokens.unwrap_or(most / 2).min(most);
@@ -184,7 +146,7 @@
     }
 }
 
-fn give_up(progress: &Progress, reason: RequestEnd) -> Refusal {
+pub(crate) fn give_up(progress: &Progress, reason: RequestEnd) -> Refusal {
     if progress.runs > 0 {
         Refusal::may_have_run(RequestEnd::NoWholeAnswer)
     } else {
@@ -267,123 +229,6 @@
     ))
 }
 
-/// Has the prompt read; `None` where the service has no endpoints that only prefill.
-async fn prefill(
-    entry: &Rc<Entry>,
-    admitted: &Admitted,
-    progress: &mut Progress,
-    decode: &Endpoint,
-) -> Result<Option<Prefilled>, Refusal> {
-    let prompt_tokens = expected_run(admitted, 0).held_tokens;
-    let mut excluded = Vec::new();
-    loop {
-        let (endpoints, candidates) = candidates(
-            entry,
-            &admitted.service,
-            Stage::Prefill,
-            &decode.data_centre,
-            &excluded,
-        );
-        let Some(chosen) = choose_prefill(&candidates, prompt_tokens) else {
-            if excluded.is_empty() {
-                return Ok(None);
-            }
-            return Err(give_up(progress, RequestEnd::NoPrefill));
-        };
-        let endpoint = Rc::clone(&endpoints[chosen]);
-        let run = Run {
-            held_tokens: prompt_tokens,
-            left_tokens: 0,
-        };
-        let place = Place::take(entry, Rc::clone(&endpoint), run);
-        if progress.prefills > 0 && !entry.take_retry(&admitted.service) {
-            return Err(give_up(progress, RequestEnd::RetryBudget));
-        }
-        progress.prefills += 1;
-        let request = admitted.to_endpoint(entry, &endpoint, Stage::Prefill, None, None);
-        let reading = read_prefill(entry, admitted, &endpoint, request);
-        let since = Moment::now();
-        let handle = compio::time::timeout(PREFILL_TIMEOUT, reading).await;
-        Trail::add(&admitted.trail.prefill, since);
-        let id = endpoint.id.clone();
-        admitted.trail.prefill_endpoint.replace(Some(id));
-        drop(place);
-        match handle {
-            Ok(Some(handle)) => {
-                return Ok(Some(Prefilled {
-                    endpoint,
-                    handle,
-                    read_at: Moment::now(),
-                    refusals: 0,
-                }));
-            }
-            Ok(None) => {}
-            Err(_) => {
-                let now = Moment::now();
-                let mut suspicions = entry.suspicions.borrow_mut();
-                suspicions.note_unreachable(&endpoint.id, now);
-            }
-        }
-        excluded.push(endpoint.id.clone());
-    }
-}
-
-async fn read_prefill(
-    entry: &Rc<Entry>,
-    admitted: &Admitted,
-    endpoint: &Endpoint,
-    request: http::Request<Bytes>,
-) -> Option<KvHandle> {
-    let sent = upstream::send(endpoint.address, request).await;
-    let mut answer = match sent {
-        Ok(answer) => answer,
-        Err(error) => {
-            let now = Moment::now();
-            tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-            let mut suspicions = entry.suspicions.borrow_mut();
-            if matches!(error, upstream::SendError::NotSent { .. }) {
-                suspicions.note_unreachable(&endpoint.id, now);
-            } else {
-                suspicions.note_failure(&endpoint.id, now);
-                entry.check_for_crash(endpoint, admitted.fingerprint);
-            }
-            return None;
-        }
-    };
-    let body = answer.body.collect(MAX_PREFILL_BYTES).await;
-    let handle = body.ok().and_then(|body| (entry.dialect.prefilled)(&body));
-    match handle {
-        Some(handle) if answer.parts.status.is_success() => {
-            let now = Moment::now();
-            entry
-                .suspicions
-                .borrow_mut()
-                .note_success(&endpoint.id, now);
-            Some(handle)
-        }
-        _ => {
-            tracing::info!(
-                event = "prefill_refused",
-                request_id = admitted.id(),
-                endpoint = %endpoint.id,
-                status = answer.parts.status.as_u16(),
-            );
-            None
-        }
-    }
-}
-
-/// Frees a KV cache that nobody will take.
-fn free(entry: &Rc<Entry>, prefilled: Option<Prefilled>) {
-    let Some(held) = prefilled else { return };
-    let request = (entry.dialect.free_kv)(&held.handle);
-    entry.tasks.spawn(async move {
-        // A cache that can't be freed lapses by itself.
-        let freeing = upstream::send(held.endpoint.address, request);
-        let _ = compio::time::timeout(Duration::from_secs(1), freeing).await;
-    });
-}
-
 /// A stream on its way to the caller.
 struct Relay {
     entry: Rc<Entry>,
