--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -7,41 +7,41 @@
 
 use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint, quota::ToldAccount};
 
-/// Shortest time between two words to a peer. Placements of other entries are unknown for about this long.
-const WORD_PERIOD: Duration = Duration::from_millis(40);
+/// Shortest time between two heartbeats to a peer. Placements of other entries are unknown for about this long.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(40);
 
-/// Time for each known peer that is added to the period beyond a few, so that an entry's words don't grow with the fleet.
-const WORD_PERIOD_PER_PEER: Duration = Duration::from_millis(8);
+/// Time for each known peer that is added to the period beyond a few, so that an entry's heartbeats don't grow with the fleet.
+const HEARTBEAT_PERIOD_PER_PEER: Duration = Duration::from_millis(8);
 
-/// Longest time between two words to a peer, below the time after which it counts as silent.
-const LONGEST_WORD_PERIOD: Duration = Duration::from_millis(240);
+/// Longest time between two heartbeats to a peer, below the time after which it counts as silent.
+const LONGEST_HEARTBEAT_PERIOD: Duration = Duration::from_millis(240);
 
-/// Time without a word after which a peer counts as silent; some words are lost.
+/// Time without a heartbeat after which a peer counts as silent; some heartbeats are lost.
 const SILENT_AFTER: Duration = Duration::from_millis(500);
 
-/// Time without a word after which a peer's work counts as ended: an entry that died leaves no connections.
+/// Time without a heartbeat after which a peer's work counts as ended: an entry that died leaves no connections.
 const WORK_ENDS_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Time without a word after which a peer counts as ended.
+/// Time without a heartbeat after which a peer counts as ended.
 const ENDED_AFTER: Duration = Duration::from_secs(15);
 
 /// Largest datagram that is read.
-const MAX_WORD_BYTES: usize = 16 * 1024;
+const MAX_HEARTBEAT_BYTES: usize = 16 * 1024;
 
-/// Most addresses of peers in a word.
+/// Most addresses of peers in a heartbeat.
 const MAX_TOLD_PEERS: usize = 16;
 
-/// How often an entry says goodbye: words may be lost.
+/// How often an entry says goodbye: heartbeats may be lost.
 const GOODBYES: u32 = 3;
 
-/// How often a crash is told: words may be lost.
+/// How often a crash is told: heartbeats may be lost.
 const CRASH_TELLS: u32 = 3;
 
 /// What an entry tells its peers.
 #[derive(Debug, Deserialize, Serialize)]
-pub(crate) struct Word {
+pub(crate) struct Heartbeat {
     pub(crate) incarnation: u64,
-    /// Whether this is the last word: the entry's work has ended.
+    /// Whether this is the last heartbeat: the entry's work has ended.
     pub(crate) is_ending: bool,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ToldAccount>,
@@ -53,7 +53,7 @@
 #[derive(Debug)]
 struct Peer {
     incarnation: Option<u64>,
-    /// Last word, or when the address became known.
+    /// Last heartbeat, or when the address became known.
     heard_at: Moment,
     last_crash: u64,
 }
@@ -173,12 +173,12 @@
     }
 }
 
-/// Sends words until the entry's tasks are dropped.
-pub(crate) async fn send_words(entry: Rc<Entry>, socket: UdpSocket) {
+/// Sends heartbeats until the entry's tasks are dropped.
+pub(crate) async fn send_heartbeats(entry: Rc<Entry>, socket: UdpSocket) {
     loop {
-        send_word(&entry, &socket, false).await;
+        send_heartbeat(&entry, &socket, false).await;
         let peers = entry.peers.borrow().known.len();
-        compio::time::sleep(word_period(peers)).await;
+        compio::time::sleep(heartbeat_period(peers)).await;
         forget_ended(&entry);
     }
 }
@@ -186,27 +186,27 @@
 /// Tells the peers that this entry's work has ended.
 pub(crate) async fn say_goodbye(entry: &Entry, socket: &UdpSocket) {
     for _ in 0..GOODBYES {
-        send_word(entry, socket, true).await;
+        send_heartbeat(entry, socket, true).await;
     }
 }
 
-/// Time between two words to each of some peers.
-pub(crate) fn word_period(peers: usize) -> Duration {
+/// Time between two heartbeats to each of some peers.
+pub(crate) fn heartbeat_period(peers: usize) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    WORD_PERIOD_PER_PEER
+    HEARTBEAT_PERIOD_PER_PEER
         .saturating_mul(peers)
-        .max(WORD_PERIOD)
-        .min(LONGEST_WORD_PERIOD)
+        .max(HEARTBEAT_PERIOD)
+        .min(LONGEST_HEARTBEAT_PERIOD)
 }
 
-async fn send_word(entry: &Entry, socket: &UdpSocket, is_ending: bool) {
-    let (addresses, word) = {
+async fn send_heartbeat(entry: &Entry, socket: &UdpSocket, is_ending: bool) {
+    let (addresses, heartbeat) = {
         let now = Moment::now();
         let share = entry.quota_share(now);
         let mut peers = entry.peers.borrow_mut();
         let addresses: Vec<_> = peers.known.keys().copied().collect();
         let mut quotas = entry.quotas.borrow_mut();
-        let word = Word {
+        let heartbeat = Heartbeat {
             incarnation: peers.incarnation,
             is_ending,
             peers: peers.heard(now),
@@ -214,12 +214,12 @@
             work: entry.loads.borrow().own(),
             crashes: peers.crashes(),
         };
-        (addresses, word)
+        (addresses, heartbeat)
     };
-    let bytes = match postcard::to_stdvec(&word) {
+    let bytes = match postcard::to_stdvec(&heartbeat) {
         Ok(bytes) => bytes,
         Err(error) => {
-            tracing::warn!(event = "word_not_encoded", %error);
+            tracing::warn!(event = "heartbeat_not_encoded", %error);
             return;
         }
     };
@@ -229,15 +229,15 @@
     }
 }
 
-/// Receives words until the entry's tasks are dropped.
-pub(crate) async fn receive_words(entry: Rc<Entry>, socket: UdpSocket) {
+/// Receives heartbeats until the entry's tasks are dropped.
+pub(crate) async fn receive_heartbeats(entry: Rc<Entry>, socket: UdpSocket) {
     loop {
-        let buffer = Vec::with_capacity(MAX_WORD_BYTES);
+        let buffer = Vec::with_capacity(MAX_HEARTBEAT_BYTES);
         let received = socket.recv_from(buffer).await;
         match received.0 {
-            Ok((_, from)) => match postcard::from_bytes::<Word>(&received.1) {
-                Ok(word) => take_word(&entry, from, word),
-                Err(error) => tracing::debug!(event = "word_unreadable", %from, %error),
+            Ok((_, from)) => match postcard::from_bytes::<Heartbeat>(&received.1) {
+                Ok(heartbeat) => take_heartbeat(&entry, from, heartbeat),
+                Err(error) => tracing::debug!(event = "heartbeat_unreadable", %from, %error),
             },
             // A peer that is down answers with an error on the socket.
             Err(error) => {
@@ -248,23 +248,23 @@
     }
 }
 
-fn take_word(entry: &Entry, from: SocketAddr, word: Word) {
+fn take_heartbeat(entry: &Entry, from: SocketAddr, heartbeat: Heartbeat) {
     let now = Moment::now();
     let mut peers = entry.peers.borrow_mut();
-    if word.incarnation == peers.incarnation {
+    if heartbeat.incarnation == peers.incarnation {
         return;
     }
-    if word.is_ending {
-        peers.end(entry, from, word.incarnation, now);
+    if heartbeat.is_ending {
+        peers.end(entry, from, heartbeat.incarnation, now);
         return;
     }
     let ended = peers.ended.get(&from);
-    if ended.is_some_and(|(incarnation, _)| *incarnation == word.incarnation) {
+    if ended.is_some_and(|(incarnation, _)| *incarnation == heartbeat.incarnation) {
         return;
     }
     peers.ended.remove(&from);
     let own = entry.settings().peer_address;
-    for address in word.peers {
+    for address in heartbeat.peers {
         // Told addresses count as known from now on, but not as heard.
         let is_new = !peers.known.contains_key(&address) && !peers.ended.contains_key(&address);
         if address != own && address.port() == own.port() && is_new {
@@ -283,19 +283,19 @@
         last_crash: 0,
     });
     if now.since(peer.heard_at) > SILENT_AFTER {
-        // Its share was withheld meanwhile, so what it charged since its last word must not count again.
-        entry.quotas.borrow_mut().forget_peer(word.incarnation);
+        // Its share was withheld meanwhile, so what it charged since its last heartbeat must not count again.
+        entry.quotas.borrow_mut().forget_peer(heartbeat.incarnation);
     }
     peer.heard_at = now;
-    if peer.incarnation != Some(word.incarnation) {
-        tracing::info!(event = "peer_found", %from, incarnation = word.incarnation);
-        if let Some(ended) = peer.incarnation.replace(word.incarnation) {
+    if peer.incarnation != Some(heartbeat.incarnation) {
+        tracing::info!(event = "peer_found", %from, incarnation = heartbeat.incarnation);
+        if let Some(ended) = peer.incarnation.replace(heartbeat.incarnation) {
             entry.quotas.borrow_mut().forget_peer(ended);
             entry.loads.borrow_mut().forget_peer(ended);
         }
         peer.last_crash = 0;
     }
-    for (number, fingerprint) in word.crashes {
+    for (number, fingerprint) in heartbeat.crashes {
         if number > peer.last_crash {
             peer.last_crash = number;
             let fingerprint = Fingerprint(fingerprint);
@@ -305,9 +305,9 @@
     drop(peers);
     let share = entry.quota_share(now);
     let mut quotas = entry.quotas.borrow_mut();
-    quotas.note_peer(word.incarnation, word.accounts, share, now);
+    quotas.note_peer(heartbeat.incarnation, heartbeat.accounts, share, now);
     let mut loads = entry.loads.borrow_mut();
-    loads.note_peer(word.incarnation, word.work);
+    loads.note_peer(heartbeat.incarnation, heartbeat.work);
     entry.placed.changed();
 }
 
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::Moment,
     loads::Run,
-    peers::{Peers, Word, word_period},
+    peers::{Heartbeat, Peers, heartbeat_period},
     quota::Quotas,
     testing::{at_ms, team},
 };
@@ -48,18 +48,18 @@
 }
 
 #[test]
-fn words_of_an_entry_do_not_grow_with_a_fleet_of_tens() {
-    let per_s = |peers: usize| peers as f64 / word_period(peers).as_secs_f64();
+fn heartbeats_of_an_entry_do_not_grow_with_a_fleet_of_tens() {
+    let per_s = |peers: usize| peers as f64 / heartbeat_period(peers).as_secs_f64();
     assert!((per_s(3) - 75.0).abs() < 1e-9);
     assert!(per_s(30) <= 130.0);
     assert!(
-        word_period(1_000) < Duration::from_millis(500),
+        heartbeat_period(1_000) < Duration::from_millis(500),
         "a peer would count as silent"
     );
 }
 
-/// Bytes of a word of an entry with some runs under way, teams and peers.
-fn word_bytes(runs: usize, teams: usize, peers: u8) -> usize {
+/// Bytes of a heartbeat of an entry with some runs under way, teams and peers.
+fn heartbeat_bytes(runs: usize, teams: usize, peers: u8) -> usize {
     let mut quotas = Quotas::default();
     for number in 0..teams {
         let mut team = team(1e5, 1e5);
@@ -70,7 +70,7 @@
         held_tokens: 7_000,
         left_tokens: 4_000,
     };
-    let word = Word {
+    let heartbeat = Heartbeat {
         incarnation: u64::MAX / 3,
         is_ending: false,
         peers: seeds(peers),
@@ -80,13 +80,13 @@
             .collect(),
         crashes: Vec::new(),
     };
-    postcard::to_stdvec(&word).expect("a word").len()
+    postcard::to_stdvec(&heartbeat).expect("a heartbeat").len()
 }
 
 #[test]
-fn a_usual_word_fits_one_packet() {
-    let usual = word_bytes(20, 5, 3);
-    let large = word_bytes(40, 16, 16);
+fn a_usual_heartbeat_fits_one_packet() {
+    let usual = heartbeat_bytes(20, 5, 3);
+    let large = heartbeat_bytes(40, 16, 16);
     println!("20 runs, 5 teams, 3 peers: {usual} B; 40 runs, 16 teams, 16 peers: {large} B");
     assert!(usual <= 1_400, "{usual}");
     assert!(large <= 1_400, "{large}");
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -233,7 +233,7 @@
         self.accounts.get(team).map(|account| account.level)
     }
 
-    /// Takes over what a peer has charged. Its first word sets what later ones are compared with, and a level that
+    /// Takes over what a peer has charged. Its first heartbeat sets what later ones are compared with, and a level that
     /// the own one must not exceed: this entry may be new among entries that have charged for long.
     pub(crate) fn note_peer(
         &mut self,
@@ -258,7 +258,7 @@
         }
     }
 
-    /// Forgets what a peer has told, since it has ended or was silent; its next word counts as its first.
+    /// Forgets what a peer has told, since it has ended or was silent; its next heartbeat counts as its first.
     pub(crate) fn forget_peer(&mut self, incarnation: u64) {
         self.told.remove(&incarnation);
     }
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -232,7 +232,7 @@
     let (team, window_ms) = (team(20_000.0, 20_000.0), 8_000);
     let most = most_in_a_window(4, &team, 500.0, window_ms, |_, _, _| false);
     let contract = 20_000.0 * 8.0 + 20_000.0;
-    // Words are 40 ms old at most, in which the others may take what one sees as free.
+    // Heartbeats are 40 ms old at most, in which the others may take what one sees as free.
     assert!(most <= contract * 1.05, "{most} of {contract}");
     assert!(most >= contract * 0.95, "only {most} of {contract}");
 }
--- a/crates/camphorwall-direct/src/run.rs
+++ b/crates/camphorwall-direct/src/run.rs
@@ -92,8 +92,8 @@
     let background = &entry.tasks;
     background.spawn(follow::follow(Rc::clone(&entry)));
     background.spawn(placing::give_places(Rc::clone(&entry)));
-    background.spawn(peers::send_words(Rc::clone(&entry), socket.clone()));
-    background.spawn(peers::receive_words(Rc::clone(&entry), socket.clone()));
+    background.spawn(peers::send_heartbeats(Rc::clone(&entry), socket.clone()));
+    background.spawn(peers::receive_heartbeats(Rc::clone(&entry), socket.clone()));
     let metrics_listener = match entry.settings().metrics_address {
         Some(address) => Some(bind(address, "metrics_address").await?),
         None => None,
