End lapses of registrations with the outage of the store

A lapse ends 2.2 s after the last failed call to the store now, whenever it is asked for. The test on the end of a lapse expects it earlier than before.

--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -186,7 +186,7 @@
     let loads = entry.loads.borrow();
     let suspicions = entry.suspicions.borrow();
     let mut endpoints: Vec<_> = registry
-        .endpoints(service, stage)
+        .endpoints(service, stage, now)
         .filter(|endpoint| !excluded.contains(&endpoint.id))
         .cloned()
         .collect();
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -9,12 +9,9 @@
     configuration::{Configuration, Endpoint, Stage},
 };
 
-/// How long after a disturbance of the store a missing registration counts as lapsed rather than as gone. A living
-/// endpoint registers anew within two seconds.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-
-/// Time after the last failed call in which the store's removals may be lapses.
-const STORE_UNSETTLED: Duration = Duration::from_secs(2);
+/// Time after the last failed call to the store in which a missing registration counts as lapsed rather than as gone. A
+/// living endpoint registers anew within two seconds of the store's return.
+const STORE_UNSETTLED: Duration = Duration::from_millis(2_200);
 
 /// Part of the withdrawal bound in which no new request is taken: clock rates and the way through the entry.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
@@ -23,7 +20,8 @@
 struct Registration {
     endpoint: Rc<Endpoint>,
     revision: u64,
-    lapsed_at: Option<Moment>,
+    /// Whether it is missing since an outage of the store.
+    has_lapsed: bool,
 }
 
 /// What an entry believes of the configuration and the endpoints.
@@ -113,7 +111,7 @@
         let registration = Registration {
             endpoint: Rc::new(endpoint),
             revision,
-            lapsed_at: None,
+            has_lapsed: false,
         };
         self.registrations
             .insert(registration.endpoint.id.clone(), registration);
@@ -122,18 +120,16 @@
 
     /// Takes the removal of a registration over.
     pub(crate) fn remove(&mut self, id: &EndpointId, revision: u64, now: Moment) -> EndpointChange {
+        let is_unsettled = self.is_unsettled(now);
         let Some(known) = self.registrations.get_mut(id) else {
             return EndpointChange::Unchanged;
         };
         if known.revision >= revision {
             return EndpointChange::Unchanged;
         }
-        let is_unsettled = self
-            .store_failed_at
-            .is_some_and(|failed_at| now.since(failed_at) < STORE_UNSETTLED);
         if is_unsettled && !known.endpoint.is_draining {
             known.revision = revision;
-            known.lapsed_at.get_or_insert(now);
+            known.has_lapsed = true;
             return EndpointChange::Lapsed;
         }
         self.registrations.remove(id);
@@ -154,17 +150,21 @@
         }
     }
 
-    /// Drops the registrations that lapsed too long ago, and returns them.
+    /// Whether removals by the store may be lapses.
+    fn is_unsettled(&self, now: Moment) -> bool {
+        let failed_at = self.store_failed_at;
+        failed_at.is_some_and(|failed_at| now.since(failed_at) < STORE_UNSETTLED)
+    }
+
+    /// Drops the registrations that lapsed and did not come back, and returns them.
     pub(crate) fn drop_lapsed(&mut self, now: Moment) -> Vec<EndpointId> {
-        let is_over = |registration: &Registration| {
-            registration
-                .lapsed_at
-                .is_some_and(|at| now.since(at) >= LAPSE_GRACE)
-        };
+        if self.is_unsettled(now) {
+            return Vec::new();
+        }
         let over: Vec<_> = self
             .registrations
             .iter()
-            .filter(|(_, registration)| is_over(registration))
+            .filter(|(_, registration)| registration.has_lapsed)
             .map(|(id, _)| id.clone())
             .collect();
         for id in &over {
@@ -180,21 +180,27 @@
         &'a self,
         service: &'a ServiceId,
         stage: Stage,
+        now: Moment,
     ) -> impl Iterator<Item = &'a Rc<Endpoint>> {
-        let takes_work = move |endpoint: &&Rc<Endpoint>| {
-            endpoint.service == *service && endpoint.stage == stage && !endpoint.is_draining
+        let is_unsettled = self.is_unsettled(now);
+        let takes_work = move |registration: &&Registration| {
+            let endpoint = &registration.endpoint;
+            let is_there = !registration.has_lapsed || is_unsettled;
+            is_there
+                && endpoint.service == *service
+                && endpoint.stage == stage
+                && !endpoint.is_draining
         };
-        self.registrations
-            .values()
-            .map(|registration| &registration.endpoint)
-            .filter(takes_work)
+        let taking = self.registrations.values().filter(takes_work);
+        taking.map(|registration| &registration.endpoint)
     }
 
     /// Whether an endpoint still takes new work.
     #[must_use]
-    pub(crate) fn takes_work(&self, endpoint: &Endpoint) -> bool {
+    pub(crate) fn takes_work(&self, endpoint: &Endpoint, now: Moment) -> bool {
         self.registrations.get(&endpoint.id).is_some_and(|known| {
-            !known.endpoint.is_draining && known.endpoint.born_ms == endpoint.born_ms
+            let is_there = !known.has_lapsed || self.is_unsettled(now);
+            is_there && !known.endpoint.is_draining && known.endpoint.born_ms == endpoint.born_ms
         })
     }
 
--- a/crates/camphorwall-direct/src/registry_tests.rs
+++ b/crates/camphorwall-direct/src/registry_tests.rs
@@ -19,7 +19,13 @@
 }
 
 fn count(registry: &Registry) -> usize {
-    registry.endpoints(&service(), Stage::Decode).count()
+    count_at(registry, 10_500)
+}
+
+fn count_at(registry: &Registry, now_ms: u64) -> usize {
+    let service = service();
+    let endpoints = registry.endpoints(&service, Stage::Decode, at_ms(now_ms));
+    endpoints.count()
 }
 
 fn version(version: u64) -> Configuration {
@@ -70,7 +76,7 @@
     };
     assert_eq!(registry.register(draining, 2), EndpointChange::Draining);
     assert_eq!(count(&registry), 0);
-    assert!(!registry.takes_work(&decode()));
+    assert!(!registry.takes_work(&decode(), at_ms(0)));
 }
 
 #[test]
@@ -102,11 +108,23 @@
     let change = registry.remove(&endpoint_id("a"), 2, at_ms(10_500));
     assert_eq!(change, EndpointChange::Lapsed);
     assert_eq!(count(&registry), 1);
-    assert!(registry.drop_lapsed(at_ms(12_600)).is_empty());
-    assert_eq!(registry.drop_lapsed(at_ms(12_700)), [endpoint_id("a")]);
+    assert!(registry.drop_lapsed(at_ms(12_100)).is_empty());
+    assert_eq!(registry.drop_lapsed(at_ms(12_200)), [endpoint_id("a")]);
     assert_eq!(count(&registry), 0);
 }
 
+#[test]
+fn a_lapse_ends_with_the_outage_and_not_with_the_next_answer_of_the_store() {
+    let mut registry = Registry::default();
+    registry.register(decode(), 1);
+    registry.note_store_failure(at_ms(10_000));
+    // Removed shortly before the store counts as settled: it really leaves.
+    registry.remove(&endpoint_id("a"), 2, at_ms(12_100));
+    assert_eq!(count_at(&registry, 12_150), 1);
+    assert_eq!(count_at(&registry, 12_200), 0);
+    assert!(!registry.takes_work(&decode(), at_ms(12_200)));
+}
+
 #[test]
 fn an_endpoint_that_registers_anew_after_an_outage_stays() {
     let mut registry = Registry::default();
@@ -138,7 +156,7 @@
     registry.register(endpoint("b", Stage::Decode), 2);
     registry.keep_only(&[endpoint_id("b")], 8, at_ms(0));
     assert_eq!(count(&registry), 1);
-    assert!(registry.takes_work(&endpoint("b", Stage::Decode)));
+    assert!(registry.takes_work(&endpoint("b", Stage::Decode), at_ms(0)));
 }
 
 #[test]
@@ -153,6 +171,6 @@
         registry.register(restarted.clone(), 2),
         EndpointChange::Added
     );
-    assert!(!registry.takes_work(&decode()));
-    assert!(registry.takes_work(&restarted));
+    assert!(!registry.takes_work(&decode(), at_ms(0)));
+    assert!(registry.takes_work(&restarted, at_ms(0)));
 }
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -96,7 +96,11 @@
         if prefilled.is_none() && admitted.service_facts.engine.is_some() {
             prefilled = prefill(entry, admitted, progress, &place.endpoint).await?;
         }
-        if !entry.registry.borrow().takes_work(&place.endpoint) {
+        if !entry
+            .registry
+            .borrow()
+            .takes_work(&place.endpoint, Moment::now())
+        {
             // It began to leave while the prompt was read.
             progress.excluded.push(place.endpoint.id.clone());
             place = find_place(entry, admitted, progress, last_event_id).await?;
@@ -171,7 +175,7 @@
     }
     let has_endpoints = {
         let registry = entry.registry.borrow();
-        let mut endpoints = registry.endpoints(&admitted.service, Stage::Decode);
+        let mut endpoints = registry.endpoints(&admitted.service, Stage::Decode, Moment::now());
         endpoints.any(|endpoint| !progress.excluded.contains(&endpoint.id))
     };
     if !has_endpoints {
