Let an owner that dropped a member by lists alone act only on a proof that its list is the newest

Cause: two processes that are cut off from each other can read lists which lack each other, at different times. Change: a member is dropped only after lists have lacked it for the hold time and a tenth, and from then on the process acts only within the hold time of a proof that its list is the newest. Proofs are reckoned from when they were asked for: an answer that waited in the buffers of a paused process proves nothing later. A peer's word counts once all that it has is in force.

--- a/crates/camphorwall-daemon/src/histories/group.rs
+++ b/crates/camphorwall-daemon/src/histories/group.rs
@@ -174,7 +174,8 @@
             is_refusing: false,
             is_blind: false,
         };
-        process.follow(&self.lists[list], self.tick);
+        let is_newest = list + 1 == self.lists.len();
+        process.follow(&self.lists[list], is_newest, self.tick);
         process
     }
 
@@ -403,7 +404,7 @@
         }
         let newest = self.lists.len() - 1;
         let lag = self.random.random_range(0..=self.list_lag.min(newest));
-        self.processes[place].follow(&self.lists[newest - lag], self.tick);
+        self.processes[place].follow(&self.lists[newest - lag], lag == 0, self.tick);
     }
 
     fn beat(&mut self, place: usize) {
@@ -500,7 +501,11 @@
         elapsed.as_secs_f64() / self.speed / TICK.as_secs_f64()
     }
 
-    fn follow(&mut self, list: &List, tick: u64) {
+    /// Reads a list; the newest one is known as such.
+    fn follow(&mut self, list: &List, is_newest: bool, tick: u64) {
+        if is_newest {
+            self.promises.prove_list(self.now(tick));
+        }
         if list.revision <= self.revision {
             return;
         }
--- a/crates/camphorwall-daemon/src/membership/group.rs
+++ b/crates/camphorwall-daemon/src/membership/group.rs
@@ -198,6 +198,9 @@
     /// Takes a changed list into force, so that no act follows an older one.
     fn follow_list(&self, now: Instant) {
         let published = self.published.get();
+        if let Some(confirmed_at) = self.published.confirmed_at() {
+            self.promises.borrow_mut().prove_list(confirmed_at);
+        }
         let version = list_version(&published);
         if version == self.list_version.replace(version) {
             return;
--- a/crates/camphorwall-daemon/src/membership/lease.rs
+++ b/crates/camphorwall-daemon/src/membership/lease.rs
@@ -147,7 +147,7 @@
             return None;
         }
         let ready_at = self.ready_at?;
-        let mut end = now + self.hold;
+        let mut end = self.list_proof_end(now)?;
         for member in self.members.values() {
             let from = member.promise_from?;
             if !(self.rules.may_act_on)(from, ready_at) {
@@ -165,9 +165,11 @@
             None => !self.lease.dropped.contains(instance),
             Some(_) => !self.is_wanting(member) && self.has_promised(member, now),
         };
+        let is_list_proved = self.list_proof_end(now).is_some_and(|end| now < end);
         self.is_listed
             && !self.has_left
             && self.ready_at.is_some()
+            && is_list_proved
             && self.members.iter().all(holds)
     }
 
--- a/crates/camphorwall-daemon/src/membership/member.rs
+++ b/crates/camphorwall-daemon/src/membership/member.rs
@@ -14,6 +14,8 @@
     pub(crate) given: Duration,
     /// Since the last promise of others that this process was told of.
     pub(crate) told: Duration,
+    /// Since this process first read a list without the member.
+    pub(crate) unlisted: Duration,
     /// How long a promise is kept, with the margin for drift.
     pub(crate) keep: Duration,
 }
@@ -21,9 +23,9 @@
 /// Decides whether an unlisted member is no longer counted.
 pub(crate) type DropRule = fn(&PromiseAges) -> bool;
 
-/// Whether no promise to the member can still be relied on.
+/// Whether no promise to the member can still be relied on, and no proof of a list that names it.
 pub(crate) fn is_promise_over(ages: &PromiseAges) -> bool {
-    ages.given.min(ages.told) > ages.keep
+    ages.given.min(ages.told).min(ages.unlisted) > ages.keep
 }
 
 /// A member that this process counts.
@@ -33,6 +35,8 @@
     /// 0 until the member was heard.
     pub(super) incarnation: u64,
     pub(super) is_listed: bool,
+    /// When a list that lacks it was first read, while it is off the list.
+    pub(super) unlisted_at: Option<Instant>,
     /// Whether its present incarnation has said that it is ready to act.
     pub(super) is_ranked: bool,
     pub(super) given_at: Instant,
@@ -69,6 +73,7 @@
             address,
             incarnation,
             is_listed: false,
+            unlisted_at: None,
             is_ranked: false,
             given_at: promised_at,
             told_at: promised_at,
@@ -78,6 +83,15 @@
         }
     }
 
+    /// Notes whether the list that was just read names the member.
+    pub(super) fn note_list(&mut self, is_listed: bool, now: Instant) {
+        self.is_listed = is_listed;
+        self.unlisted_at = match (is_listed, self.unlisted_at) {
+            (true, _) => None,
+            (false, known) => known.or(Some(now)),
+        };
+    }
+
     pub(super) fn told_age_ms(&self, now: Instant) -> u64 {
         if self.is_listed {
             return 0;
--- a/crates/camphorwall-daemon/src/membership/promises.rs
+++ b/crates/camphorwall-daemon/src/membership/promises.rs
@@ -70,6 +70,10 @@
     pub(super) has_left: bool,
     pub(super) members: BTreeMap<InstanceId, Member>,
     gone: BTreeMap<InstanceId, Gone>,
+    /// Members that were dropped only because lists lack them; each may be alive, cut off, and have dropped this process.
+    presumed_gone: BTreeSet<InstanceId>,
+    /// When the list in force was last known to be the newest.
+    list_proved_at: Option<Instant>,
     pub(super) lease: LeaseHistory,
 }
 
@@ -86,6 +90,8 @@
             has_left: false,
             members: BTreeMap::new(),
             gone: BTreeMap::new(),
+            presumed_gone: BTreeSet::new(),
+            list_proved_at: None,
             lease: LeaseHistory::new(now),
         }
     }
@@ -94,12 +100,28 @@
         self.hold + self.hold / DRIFT_PART
     }
 
+    /// Notes that the list in force was the newest at an instant.
+    pub(crate) fn prove_list(&mut self, at: Instant) {
+        self.list_proved_at = self.list_proved_at.max(Some(at));
+    }
+
+    /// Until when the list proves that no member which was dropped by lists alone acts; `None` without a proof.
+    ///
+    /// A process that is off the newest list may not know so. It acts no longer than this after it last knew its list to
+    /// be the newest, and those that read a list without it drop it only after a longer time.
+    pub(super) fn list_proof_end(&self, now: Instant) -> Option<Instant> {
+        if self.presumed_gone.is_empty() {
+            return Some(now + self.hold);
+        }
+        self.list_proved_at.map(|at| at + self.hold)
+    }
+
     /// Takes the newest list into force.
     pub(crate) fn set_list(&mut self, listed: &BTreeMap<InstanceId, SocketAddr>, now: Instant) {
         self.end_lapsed_lease(now);
         self.is_listed = listed.contains_key(&self.own.instance);
         for (instance, member) in &mut self.members {
-            member.is_listed = listed.contains_key(instance);
+            member.note_list(listed.contains_key(instance), now);
         }
         let started_at = self.started_at;
         for (instance, address) in listed {
@@ -108,8 +130,9 @@
             }
             let new = Member::new(*address, 0, started_at, now);
             let member = self.members.entry(instance.clone()).or_insert(new);
-            member.is_listed = true;
+            member.note_list(true, now);
             member.address = *address;
+            self.presumed_gone.remove(instance);
         }
         let forget_after = self.hold * GONE_HOLDS;
         self.gone.retain(|instance, gone| {
@@ -126,15 +149,19 @@
         let keep = self.keep();
         let may_drop = self.rules.may_drop;
         let lease = &mut self.lease;
+        let presumed_gone = &mut self.presumed_gone;
         self.members.retain(|instance, member| {
+            let unlisted_at = member.unlisted_at.unwrap_or(self.started_at);
             let ages = PromiseAges {
                 given: now.saturating_duration_since(member.given_at),
                 told: now.saturating_duration_since(member.told_at),
+                unlisted: now.saturating_duration_since(unlisted_at),
                 keep,
             };
             let is_kept = member.is_listed || !may_drop(&ages);
             if !is_kept {
                 lease.note_dropped(instance, member.is_ranked, now);
+                presumed_gone.insert(instance.clone());
             }
             is_kept
         });
@@ -300,6 +327,7 @@
         now: Instant,
     ) -> &mut Member {
         self.gone.remove(instance);
+        self.presumed_gone.remove(instance);
         let new = Member::new(address, incarnation, self.started_at, now);
         let member = self.members.entry(instance.clone()).or_insert(new);
         if member.incarnation != incarnation {
@@ -346,6 +374,7 @@
         let told_at = now
             .checked_sub(Duration::from_millis(told.age_ms))
             .unwrap_or(now);
+        self.presumed_gone.remove(&told.instance);
         let new = Member::new(told.address, told.incarnation, self.started_at, now);
         let member = self.members.entry(told.instance.clone()).or_insert(new);
         member.told_at = member.told_at.max(told_at);
@@ -423,6 +452,7 @@
 
     fn forget(&mut self, instance: &InstanceId, incarnation: u64, now: Instant) {
         self.members.remove(instance);
+        self.presumed_gone.remove(instance);
         let gone = Gone {
             incarnation,
             noted_at: now,
--- a/crates/camphorwall-daemon/src/published/follower.rs
+++ b/crates/camphorwall-daemon/src/published/follower.rs
@@ -170,6 +170,7 @@
             instance,
             peer,
         });
+        let asked_at = Instant::now();
         let reply = match link {
             Some(link) if query.wait_ms > 0 => self.ask_watched(&link, &query).await,
             Some(_) | None => self.ask(peer, &query).await.map(Some),
@@ -178,7 +179,7 @@
         match reply {
             Ok(Some(reply)) => {
                 self.note_answer(peer, reply.read_ago_ms, now);
-                state.take(&self.store, &reply, now);
+                state.take(&self.store, &reply, asked_at);
                 Ok(())
             }
             Ok(None) => {
@@ -245,6 +246,7 @@
 
     async fn pulse(&self) -> Option<Pulse> {
         let Follower { asker, .. } = self.follower;
+        let asked_at = Instant::now();
         let reply = asker.ask(
             &self.instance,
             self.peer,
@@ -267,7 +269,7 @@
         let ago = confirmed_ago_ms.map(Duration::from_millis);
         if let Some(at) = ago
             .filter(|_| is_equal)
-            .and_then(|ago| now.checked_sub(ago))
+            .and_then(|ago| asked_at.checked_sub(ago))
         {
             self.follower.store.confirm(at);
         }
--- a/crates/camphorwall-daemon/src/published/reader.rs
+++ b/crates/camphorwall-daemon/src/published/reader.rs
@@ -48,6 +48,7 @@
             follower.pause(TURN_PERIOD).await;
             continue;
         }
+        let asked_at = Instant::now();
         let read = read(&follower, service, after).boxed_local();
         let changes = match select(read, follower.stop.called().boxed_local()).await {
             Either::Left((changes, _)) => changes,
@@ -63,8 +64,10 @@
             Ok(changes) => {
                 after = changes.revision;
                 retry_pause = RETRY_PAUSE;
+                let made_at =
+                    answer_made_at(asked_at, changes.documents.is_empty(), asked_at.elapsed());
                 follower.store.apply(changes.documents);
-                follower.store.note_read(Instant::now());
+                follower.store.note_read(made_at);
                 follower.pause(READ_PAUSE).await;
             }
             Err(error) => {
@@ -76,6 +79,16 @@
     }
 }
 
+/// The earliest time at which the service can have made an answer: an answer without changes ends a whole watch, any other
+/// may have been made at once and been on its way since, or waited in the buffers of a paused process.
+fn answer_made_at(asked_at: Instant, is_empty: bool, elapsed: Duration) -> Instant {
+    if is_empty && elapsed >= WATCH {
+        asked_at + WATCH
+    } else {
+        asked_at
+    }
+}
+
 async fn read(follower: &Follower, service: SocketAddr, after: u64) -> Result<Changes, String> {
     let path = format!("/v1/documents?after={after}&wait_ms={}", WATCH.as_millis());
     let exchange = async {
@@ -90,3 +103,17 @@
     let answer = compio::time::timeout(WATCH + WATCH_MARGIN, exchange).await;
     answer.map_err(|_| "no answer in time".to_owned())?
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_that_waited_in_the_buffers_of_a_paused_process_proves_no_more_than_its_watch() {
+        let asked_at = Instant::now();
+        let long = Duration::from_secs(60);
+        assert_eq!(answer_made_at(asked_at, true, long), asked_at + WATCH);
+        assert_eq!(answer_made_at(asked_at, false, long), asked_at);
+        assert_eq!(answer_made_at(asked_at, true, WATCH / 2), asked_at);
+    }
+}
--- a/crates/camphorwall-daemon/src/published/relay.rs
+++ b/crates/camphorwall-daemon/src/published/relay.rs
@@ -125,14 +125,21 @@
         }
     }
 
-    /// Takes the peer's answer into force.
-    pub(super) fn take(&mut self, store: &PublishedStore, reply: &DocumentsReply, now: Instant) {
+    /// Takes the peer's answer into force, which can't have been made before it was asked for.
+    pub(super) fn take(
+        &mut self,
+        store: &PublishedStore,
+        reply: &DocumentsReply,
+        asked_at: Instant,
+    ) {
         let misfits = store.apply_updates(&reply.updates);
         self.is_synced = !reply.is_unknown && !reply.has_more && misfits.is_empty();
         self.asked_whole = misfits;
         self.known = reply.digest;
-        let ago = reply.confirmed_ago_ms.map(Duration::from_millis);
-        if let Some(at) = ago.and_then(|ago| now.checked_sub(ago)) {
+        // What is in force here is not what the peer confirms until all of it has come.
+        let ago = reply.confirmed_ago_ms.filter(|_| self.is_synced);
+        let ago = ago.map(Duration::from_millis);
+        if let Some(at) = ago.and_then(|ago| asked_at.checked_sub(ago)) {
             store.confirm(at);
         }
     }
