Pass an endpoint over that another one has taken the address of; keep one account of a request's attempts

Cause: an answer of 421 counted as a failure of the endpoint, so that it was tried again as soon as the others were busier, until the store told of its end; every try is a send that the budget for repeats pays for. Change: it counts as out of reach. plain.rs and stream.rs share Progress, and sends that fail are judged in one place, Entry::note_send_error; a plain request whose time ends before anything was sent is told so (503) instead of 504.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -27,7 +27,7 @@
     settings::DirectSettings,
     suspicion::Suspicions,
     trail::Sampler,
-    upstream::Connection,
+    upstream::{Connection, SendError},
 };
 
 /// Memory that is assumed where the settings name no limit, in MiB.
@@ -276,6 +276,28 @@
         usable_share(peers.count(), peers.silent(self.keys_end(), now))
     }
 
+    /// Notes a send that got no answer; tells whether it may have reached the endpoint.
+    pub(crate) fn note_send_error(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        fingerprint: Fingerprint,
+        error: &SendError,
+    ) -> bool {
+        let now = Moment::now();
+        let mut suspicions = self.suspicions.borrow_mut();
+        match error {
+            SendError::NotSent { .. } => {
+                suspicions.note_unreachable(&endpoint.id, now);
+                false
+            }
+            SendError::Broken { .. } => {
+                suspicions.note_failure(&endpoint.id, now);
+                self.check_for_crash(endpoint, fingerprint);
+                true
+            }
+        }
+    }
+
     /// Looks whether an endpoint that broke off a request has crashed: a lost answer or a reset connection leaves it
     /// running.
     pub(crate) fn check_for_crash(self: &Rc<Self>, endpoint: &Endpoint, fingerprint: Fingerprint) {
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -1,18 +1,78 @@
-//! What became of one attempt at an endpoint.
+//! What became of the attempts of a request at endpoints.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use camphorwall::{EndpointId, RequestEnd};
 use http::{Request, StatusCode, header};
 
 use crate::{
     clock::Moment,
     configuration::Endpoint,
     entry::Entry,
+    refusal::Refusal,
     request::Admitted,
-    upstream::{self, Answer, SendError},
+    upstream::{self, Answer},
 };
 
+/// What the attempts of one request have come to so far.
+#[derive(Default)]
+pub(crate) struct Progress {
+    /// Endpoints that were tried, or that leave.
+    pub(crate) excluded: Vec<EndpointId>,
+    pub(crate) prefills: u32,
+    /// Attempts that may have run.
+    runs: u32,
+    refusals: u32,
+}
+
+impl Progress {
+    /// Counts an attempt. Until the endpoint says otherwise, what is sent may run.
+    pub(crate) fn begin(&mut self, admitted: &Admitted, endpoint: &EndpointId) {
+        self.excluded.push(endpoint.clone());
+        admitted.trail.endpoint.replace(Some(endpoint.clone()));
+        self.runs += 1;
+        admitted.note_runs(self.runs);
+    }
+
+    /// Takes the last attempt back, which certainly has not run.
+    pub(crate) fn take_back(&mut self, admitted: &Admitted) {
+        self.runs -= 1;
+        admitted.note_runs(self.runs);
+    }
+
+    /// Takes the last attempt back, which the endpoint refused; tells whether the request may be sent once more.
+    pub(crate) fn note_refused(&mut self, entry: &Entry, admitted: &Admitted, most: u32) -> bool {
+        self.take_back(admitted);
+        self.refusals += 1;
+        admitted.trail.refusals.set(self.refusals);
+        self.refusals <= most && entry.take_retry(&admitted.service)
+    }
+
+    /// Whether the request may be sent once more although its last attempt may have run.
+    pub(crate) fn may_repeat(&self, admitted: &Admitted) -> bool {
+        admitted.route.kind.may_repeat() && self.runs < admitted.route.max_attempts
+    }
+
+    /// The final answer when the request's time is over.
+    pub(crate) fn time_out(&self, reason: RequestEnd, retry_after: Duration) -> Refusal {
+        if self.runs > 0 {
+            Refusal::timed_out()
+        } else {
+            Refusal::not_run(reason, retry_after)
+        }
+    }
+
+    /// A refusal after which nothing more is sent.
+    pub(crate) fn give_up(&self, reason: RequestEnd, retry_after: Duration) -> Refusal {
+        if self.runs > 0 {
+            Refusal::may_have_run(RequestEnd::NoWholeAnswer)
+        } else {
+            Refusal::not_run(reason, retry_after)
+        }
+    }
+}
+
 /// What became of one attempt.
 pub(crate) enum Outcome {
     /// The endpoint's own answer, with its body to come.
@@ -33,7 +93,6 @@
     request: Request<Bytes>,
 ) -> Outcome {
     let sent = upstream::send(endpoint.address, request).await;
-    let now = Moment::now();
     let answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
@@ -43,29 +102,29 @@
                 endpoint = %endpoint.id,
                 %error,
             );
-            let mut suspicions = entry.suspicions.borrow_mut();
-            if matches!(error, SendError::NotSent { .. }) {
-                suspicions.note_unreachable(&endpoint.id, now);
-                return Outcome::NotSent;
-            }
-            suspicions.note_failure(&endpoint.id, now);
-            entry.check_for_crash(endpoint, admitted.fingerprint);
-            return Outcome::Lost;
+            return if entry.note_send_error(endpoint, admitted.fingerprint, &error) {
+                Outcome::Lost
+            } else {
+                Outcome::NotSent
+            };
         }
     };
+    let now = Moment::now();
     let facts = (entry.dialect.answer_facts)(&answer.parts);
     let is_own = match (&facts.request_id, &admitted.facts.request_id) {
         (Some(told), Some(own)) => told == own,
         _ => true,
     };
     if facts.has_not_run && is_own {
-        if answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
+        let is_stranger = answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
+        if is_stranger {
+            // The endpoint is gone, and the store hasn't told so yet.
             entry
                 .suspicions
                 .borrow_mut()
-                .note_failure(&endpoint.id, now);
+                .note_unreachable(&endpoint.id, now);
         }
-        tracing::debug!(event = "endpoint_refused", request_id = admitted.id(), endpoint = %endpoint.id);
+        tracing::debug!(event = "endpoint_refused", request_id = admitted.id(), endpoint = %endpoint.id, is_stranger);
         return Outcome::NotRun;
     }
     let is_success = answer.parts.status.is_success();
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, EndpointId, RequestEnd, full_body, stream_body};
+use camphorwall::{BoxedBody, RequestEnd, full_body, stream_body};
 use futures_util::stream;
 use http::{StatusCode, header};
 use hyper::Response;
@@ -15,7 +15,7 @@
     connection_headers::remove_connection_headers,
     entry::Entry,
     loads::Run,
-    outcome::{Outcome, attempt},
+    outcome::{Outcome, Progress, attempt},
     placing::{Place, candidates},
     refusal::Refusal,
     request::{Admitted, SOON},
@@ -31,15 +31,6 @@
 /// Times its target after which an attempt that can be repeated is given up.
 const SLOW_FACTOR: u32 = 2;
 
-/// Attempts of one request so far.
-#[derive(Default)]
-struct Progress {
-    tried: Vec<EndpointId>,
-    /// Attempts that may have run.
-    runs: u32,
-    refusals: u32,
-}
-
 /// Serves a request to its whole answer.
 pub(crate) async fn serve(
     entry: &Rc<Entry>,
@@ -50,14 +41,14 @@
     let serving = try_endpoints(entry, &admitted, &mut progress);
     let result = compio::time::timeout(admitted.time_left(), serving).await;
     result.unwrap_or_else(|_| {
-        if let Some(endpoint) = progress.tried.last() {
+        if let Some(endpoint) = progress.excluded.last() {
             let now = Moment::now();
             entry
                 .suspicions
                 .borrow_mut()
                 .note_unreachable(endpoint, now);
         }
-        Err(Refusal::timed_out())
+        Err(progress.time_out(RequestEnd::NoEndpoint, SOON))
     })
 }
 
@@ -66,18 +57,13 @@
     admitted: &Rc<Admitted>,
     progress: &mut Progress,
 ) -> Result<Response<BoxedBody>, Refusal> {
-    let may_repeat = admitted.route.kind.may_repeat();
     loop {
         let Some(endpoint) = next_endpoint(entry, admitted, progress) else {
-            return Err(give_up(progress, RequestEnd::NoEndpoint));
+            return Err(progress.give_up(RequestEnd::NoEndpoint, SOON));
         };
-        progress.tried.push(endpoint.id.clone());
         let place = Place::take(entry, Rc::clone(&endpoint), Run::default());
-        admitted.trail.endpoint.replace(Some(endpoint.id.clone()));
-        // Until the endpoint says otherwise, what was sent may have run.
-        progress.runs += 1;
-        admitted.note_runs(progress.runs);
-        let can_repeat = may_repeat && progress.runs < admitted.route.max_attempts;
+        progress.begin(admitted, &endpoint.id);
+        let can_repeat = progress.may_repeat(admitted);
         let outcome = if can_repeat {
             attempt_shortly(entry, admitted, &endpoint).await
         } else {
@@ -93,18 +79,13 @@
                 }
             }
             Outcome::NotRun => {
-                progress.runs -= 1;
-                progress.refusals += 1;
-                admitted.trail.refusals.set(progress.refusals);
-                admitted.note_runs(progress.runs);
-                if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
-                    return Err(give_up(progress, RequestEnd::EndpointsFull));
+                if !progress.note_refused(entry, admitted, MAX_REFUSALS) {
+                    return Err(progress.give_up(RequestEnd::EndpointsFull, SOON));
                 }
                 continue;
             }
             Outcome::NotSent => {
-                progress.runs -= 1;
-                admitted.note_runs(progress.runs);
+                progress.take_back(admitted);
                 continue;
             }
             Outcome::Lost => None,
@@ -116,7 +97,7 @@
         tracing::debug!(
             event = "sent_again",
             request_id = admitted.id(),
-            runs = progress.runs
+            runs = admitted.trail.runs.get()
         );
     }
 }
@@ -142,20 +123,11 @@
     })
 }
 
-/// A refusal after which nothing more is sent.
-fn give_up(progress: &Progress, reason: RequestEnd) -> Refusal {
-    if progress.runs > 0 {
-        Refusal::may_have_run(RequestEnd::NoWholeAnswer)
-    } else {
-        Refusal::not_run(reason, SOON)
-    }
-}
-
 fn next_endpoint(entry: &Entry, admitted: &Admitted, progress: &Progress) -> Option<Rc<Endpoint>> {
     let near = &entry.settings().data_centre;
     let stage = admitted.stage();
     let (endpoints, candidates) =
-        candidates(entry, &admitted.service, stage, near, &progress.tried);
+        candidates(entry, &admitted.service, stage, near, &progress.excluded);
     choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
 }
 
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -12,10 +12,11 @@
     dialect::KvHandle,
     entry::Entry,
     loads::Run,
+    outcome::Progress,
     placing::{Place, candidates},
     refusal::Refusal,
     request::Admitted,
-    stream::{Progress, expected_run, give_up},
+    stream::{SOON_FREE, expected_run},
     trail::Trail,
     upstream,
 };
@@ -80,7 +81,7 @@
             if excluded.is_empty() {
                 return Ok(None);
             }
-            return Err(give_up(progress, RequestEnd::NoPrefill));
+            return Err(progress.give_up(RequestEnd::NoPrefill, SOON_FREE));
         };
         let endpoint = Rc::clone(&endpoints[chosen]);
         let run = Run {
@@ -89,7 +90,7 @@
         };
         let place = Place::take(entry, Rc::clone(&endpoint), run);
         if progress.prefills > 0 && !entry.take_retry(&admitted.service) {
-            return Err(give_up(progress, RequestEnd::RetryBudget));
+            return Err(progress.give_up(RequestEnd::RetryBudget, SOON_FREE));
         }
         progress.prefills += 1;
         let request = admitted.to_endpoint(entry, &endpoint, Stage::Prefill, None, None);
@@ -130,15 +131,8 @@
     let mut answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
-            let now = Moment::now();
             tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-            let mut suspicions = entry.suspicions.borrow_mut();
-            if matches!(error, upstream::SendError::NotSent { .. }) {
-                suspicions.note_unreachable(&endpoint.id, now);
-            } else {
-                suspicions.note_failure(&endpoint.id, now);
-                entry.check_for_crash(endpoint, admitted.fingerprint);
-            }
+            entry.note_send_error(endpoint, admitted.fingerprint, &error);
             return None;
         }
     };
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, EndpointId, RequestEnd, stream_body};
+use camphorwall::{BoxedBody, RequestEnd, stream_body};
 use futures_util::stream;
 use http::StatusCode;
 use hyper::Response;
@@ -16,7 +16,7 @@
     entry::Entry,
     events::EventSplitter,
     loads::Run,
-    outcome::{Outcome, attempt},
+    outcome::{Outcome, Progress, attempt},
     placing::{Place, PlaceRequest, Rank, candidates},
     prefill::{Prefilled, free, prefill},
     refusal::Refusal,
@@ -32,6 +32,9 @@
 /// Longest time to wait for a place once the answer can't be on time.
 const LATE_WAIT: Duration = Duration::from_millis(1_500);
 
+/// When a caller may come back whose request found no place: engines free some within a second.
+pub(crate) const SOON_FREE: Duration = Duration::from_secs(1);
+
 /// When a caller may come back whose request no endpoint can hold.
 const NEVER: Duration = Duration::from_secs(60);
 
@@ -45,15 +48,6 @@
     body: AnswerBody,
 }
 
-/// What the attempts of a request have cost so far.
-#[derive(Default)]
-pub(crate) struct Progress {
-    excluded: Vec<EndpointId>,
-    runs: u32,
-    refusals: u32,
-    pub(crate) prefills: u32,
-}
-
 /// Serves a request; the stream goes on after this returns.
 pub(crate) async fn serve(
     entry: &Rc<Entry>,
@@ -62,13 +56,8 @@
     let mut progress = Progress::default();
     let opening = open(entry, &admitted, &mut progress, None);
     let opened = compio::time::timeout(admitted.time_left(), opening).await;
-    let opened = opened.unwrap_or_else(|_| {
-        Err(if progress.runs > 0 {
-            Refusal::timed_out()
-        } else {
-            Refusal::not_run(RequestEnd::NoPlaceInTime, Duration::from_secs(1))
-        })
-    });
+    let opened =
+        opened.unwrap_or_else(|_| Err(progress.time_out(RequestEnd::NoPlaceInTime, SOON_FREE)));
     Ok(relay(entry, admitted, progress, opened?))
 }
 
@@ -109,40 +98,27 @@
         let source = source.map(|held| (held.endpoint.address, held.handle.clone()));
         let stage = admitted.stage();
         let request = admitted.to_endpoint(entry, &place.endpoint, stage, source, last_event_id);
-        progress.runs += 1;
-        admitted.note_runs(progress.runs);
-        let endpoint = place.endpoint.id.clone();
-        admitted.trail.endpoint.replace(Some(endpoint));
+        progress.begin(admitted, &place.endpoint.id);
         let outcome = attempt(entry, admitted, &place.endpoint, request).await;
-        progress.excluded.push(place.endpoint.id.clone());
         match outcome {
             Outcome::Answered(Answer { parts, body }) => {
                 admitted.trail.note_first();
                 return Ok(Opened { place, parts, body });
             }
             Outcome::NotRun => {
-                progress.runs -= 1;
-                progress.refusals += 1;
-                admitted.trail.refusals.set(progress.refusals);
-                admitted.note_runs(progress.runs);
                 // A KV cache that was offered twice in vain is lost; its endpoint is avoided for a while.
                 if let Some(held) = prefilled.take() {
                     prefilled = held.offered_in_vain(entry);
                 }
-                if progress.refusals > MAX_REFUSALS || !entry.take_retry(&admitted.service) {
+                if !progress.note_refused(entry, admitted, MAX_REFUSALS) {
                     free(entry, prefilled);
-                    return Err(give_up(progress, RequestEnd::EndpointsFull));
+                    return Err(progress.give_up(RequestEnd::EndpointsFull, SOON_FREE));
                 }
             }
-            Outcome::NotSent => {
-                progress.runs -= 1;
-                admitted.note_runs(progress.runs);
-            }
+            Outcome::NotSent => progress.take_back(admitted),
             Outcome::Lost => {
                 prefilled = None;
-                let can_repeat =
-                    admitted.route.kind.may_repeat() && progress.runs < admitted.route.max_attempts;
-                if !can_repeat || !entry.take_retry(&admitted.service) {
+                if !progress.may_repeat(admitted) || !entry.take_retry(&admitted.service) {
                     return Err(Refusal::may_have_run(RequestEnd::NoWholeAnswer));
                 }
             }
@@ -150,14 +126,6 @@
     }
 }
 
-pub(crate) fn give_up(progress: &Progress, reason: RequestEnd) -> Refusal {
-    if progress.runs > 0 {
-        Refusal::may_have_run(RequestEnd::NoWholeAnswer)
-    } else {
-        Refusal::not_run(reason, Duration::from_secs(1))
-    }
-}
-
 /// Waits for a place while the answer can be on time, then shortly for one that is late.
 async fn find_place(
     entry: &Rc<Entry>,
@@ -179,7 +147,7 @@
         endpoints.any(|endpoint| !progress.excluded.contains(&endpoint.id))
     };
     if !has_endpoints {
-        return Err(give_up(progress, RequestEnd::NoEndpoint));
+        return Err(progress.give_up(RequestEnd::NoEndpoint, SOON_FREE));
     }
     let target = Duration::from_millis(admitted.route.target_ms);
     let on_time = target.saturating_sub(PREPARATION);
@@ -206,7 +174,7 @@
     Trail::add(&admitted.trail.place_wait, since);
     match placed {
         Ok(Some(place)) => Ok(place),
-        _ => Err(give_up(progress, RequestEnd::NoPlaceInTime)),
+        _ => Err(progress.give_up(RequestEnd::NoPlaceInTime, SOON_FREE)),
     }
 }
 
@@ -224,8 +192,8 @@
         near,
         &progress.excluded,
     );
-    let chosen =
-        choose_plain(&candidates).ok_or_else(|| give_up(progress, RequestEnd::NoEndpoint))?;
+    let chosen = choose_plain(&candidates)
+        .ok_or_else(|| progress.give_up(RequestEnd::NoEndpoint, SOON_FREE))?;
     Ok(Place::take(
         entry,
         Rc::clone(&endpoints[chosen]),
@@ -364,8 +332,7 @@
         );
         self.splitter = EventSplitter::default();
         self.progress.excluded.push(endpoint.id.clone());
-        let route = &self.admitted.route;
-        let can_repeat = route.kind.may_repeat() && self.progress.runs < route.max_attempts;
+        let can_repeat = self.progress.may_repeat(&self.admitted);
         let is_blocked = {
             let poison = self.entry.poison.borrow();
             poison.is_blocked(self.admitted.fingerprint, now)
