Tell peers at once of what was placed, and whole heartbeats at the period of the fleet's size

Change: an entry sends what has begun and ended since its last word as soon as it places something or a run frees memory, at most 1,000 datagrams a second; heartbeats carry sequence numbers, so that a late one is passed over. Work is told by number. Candidates are counted in one pass over all work.

--- a/crates/camphorwall-direct/src/emulator_tests.rs
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -56,6 +56,7 @@
     left: f64,
     unreported: f64,
     forecast: Forecast,
+    placed: Placed,
     /// A preempted run is read in again until this time.
     resumes_ms: u64,
 }
@@ -91,11 +92,18 @@
     }
 }
 
+/// Who has placed a run, and when.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    by: usize,
+    at_ms: u64,
+}
+
 #[derive(Default)]
 struct Decode {
     runs: Vec<Running>,
     /// Places that are given and whose prefill is under way.
-    placed: Vec<(usize, Forecast)>,
+    placed: Vec<(usize, Forecast, Placed)>,
     is_lost: bool,
 }
 
@@ -178,7 +186,7 @@
     /// Read prompts that wait for a decode engine, with the time at which they lapse.
     ready: Vec<(usize, u64)>,
     random: ChaCha8Rng,
-    capacity_tokens: u64,
+    load: Load,
     lengths: LengthModel,
     result: Result,
     on_time: Vec<bool>,
@@ -189,6 +197,10 @@
 }
 
 impl World {
+    const fn entry_of(&self, index: usize) -> usize {
+        index % self.load.entries
+    }
+
     fn forecast(&self, index: usize) -> Forecast {
         let request = self.requests[index];
         let estimate = |tokens| {
@@ -209,14 +221,26 @@
         }
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
-        let candidate = |engine: &Decode| Candidate {
-            runs: engine
-                .runs
-                .iter()
+    /// What an entry knows: its own placements at once, those of the others after a time.
+    fn candidates(&self, entry: usize, now_ms: u64) -> Vec<Candidate> {
+        let is_known =
+            |placed: &Placed| placed.by == entry || placed.at_ms + self.load.lag_ms <= now_ms;
+        let running = |engine: &Decode| {
+            let runs = engine.runs.iter();
+            let known = runs.filter(|running| is_known(&running.placed));
+            known
                 .map(|running| running.forecast.run())
-                .chain(engine.placed.iter().map(|placed| placed.1.run()))
-                .collect(),
+                .collect::<Vec<_>>()
+        };
+        let placed = |engine: &Decode| {
+            let places = engine.placed.iter();
+            let known = places.filter(|(_, _, placed)| is_known(placed));
+            known
+                .map(|(_, forecast, _)| forecast.run())
+                .collect::<Vec<_>>()
+        };
+        let candidate = |engine: &Decode| Candidate {
+            runs: [running(engine), placed(engine)].concat(),
             slots: SLOTS,
             is_near: true,
             is_unreachable: engine.is_lost,
@@ -248,26 +272,35 @@
         for index in std::mem::take(&mut self.waiting) {
             let waited_ms = now_ms - self.requests[index].at_ms;
             if self.policy != Policy::NeverRefuse && waited_ms > TARGET_MS - PREPARATION_MS {
-                let candidates = self.candidates();
+                let candidates = self.candidates(self.entry_of(index), now_ms);
                 let run = self.forecast(index).run();
                 let has_room =
-                    choose_decode(&candidates, run, self.capacity_tokens, MEMORY_TRUST).is_some();
+                    choose_decode(&candidates, run, self.load.capacity_tokens, MEMORY_TRUST)
+                        .is_some();
                 self.result.refused_with_room += usize::from(has_room);
                 continue;
             }
             let forecast = self.forecast(index);
+            let entry = self.entry_of(index);
             let chosen = if is_blocked {
                 None
             } else {
                 choose_decode(
-                    &self.candidates(),
+                    &self.candidates(entry, now_ms),
                     forecast.run(),
-                    self.capacity_tokens,
+                    self.load.capacity_tokens,
                     MEMORY_TRUST,
                 )
             };
             if let Some(engine) = chosen {
-                self.decode[engine].placed.push((index, forecast));
+                self.decode[engine].placed.push((
+                    index,
+                    forecast,
+                    Placed {
+                        by: entry,
+                        at_ms: now_ms,
+                    },
+                ));
                 self.read(index);
             } else {
                 is_blocked = true;
@@ -281,12 +314,22 @@
         let request = self.requests[index];
         self.on_time[index] = now_ms - request.at_ms <= TARGET_MS;
         let forecast = self.forecast(index);
+        let places = &self.decode[engine].placed;
+        let own = places.iter().find(|(request, ..)| *request == index);
+        let by = own.map_or_else(
+            || Placed {
+                by: self.entry_of(index),
+                at_ms: now_ms,
+            },
+            |(.., by)| *by,
+        );
         self.decode[engine].runs.push(Running {
             request: index,
             held: f64::from(request.prompt),
             left: f64::from(request.output),
             unreported: 0.0,
             forecast,
+            placed: by,
             resumes_ms: 0,
         });
     }
@@ -314,7 +357,7 @@
         let prompt = f64::from(self.requests[index].prompt);
         !engine.is_lost
             && engine.runs.len() < SLOTS as usize
-            && held + prompt <= self.capacity_tokens as f64
+            && held + prompt <= self.load.capacity_tokens as f64
     }
 
     fn take_ready(&mut self, now_ms: u64) {
@@ -339,10 +382,10 @@
                     .filter(|engine| self.fits_now(index, *engine)),
             };
             if let Some(engine) = engine {
+                self.start(index, engine, now_ms);
                 self.decode[engine]
                     .placed
                     .retain(|placed| placed.0 != index);
-                self.start(index, engine, now_ms);
             } else if now_ms < lapses_ms {
                 self.ready.push((index, lapses_ms));
             } else {
@@ -380,7 +423,7 @@
             }
             engine.runs.retain(|running| running.left > 0.0);
             while engine.runs.iter().map(|running| running.held).sum::<f64>()
-                > self.capacity_tokens as f64
+                > self.load.capacity_tokens as f64
             {
                 // The newest run gives its memory up and is read in again.
                 let Some(mut newest) = engine.runs.pop() else {
@@ -408,6 +451,9 @@
     per_s: f64,
     lost_engines: usize,
     capacity_tokens: u64,
+    entries: usize,
+    /// Time after which an entry knows of the others' placements.
+    lag_ms: u64,
 }
 
 impl Load {
@@ -416,6 +462,8 @@
             per_s,
             lost_engines: 0,
             capacity_tokens: CAPACITY_TOKENS,
+            entries: 4,
+            lag_ms: 0,
         }
     }
 }
@@ -432,7 +480,7 @@
         waiting: Vec::new(),
         ready: Vec::new(),
         random: ChaCha8Rng::seed_from_u64(seed + 1),
-        capacity_tokens: load.capacity_tokens,
+        load,
         lengths: LengthModel::default(),
         result: Result::default(),
     };
@@ -565,6 +613,27 @@
     }
 }
 
+#[test]
+fn many_entries_that_hear_of_placements_at_once_serve_more_callers_than_after_a_period() {
+    let fleet = |lag_ms| Load {
+        capacity_tokens: 74_290,
+        entries: 30,
+        lag_ms,
+        ..Load::new(8.5)
+    };
+    let [at_once, periodic] = [10, 240].map(|lag_ms| {
+        let days = days(Policy::Forecast, fleet(lag_ms));
+        let (share, again) = (
+            mean(&days, Result::share),
+            mean(&days, Result::preempted_share),
+        );
+        println!("known after {lag_ms} ms: in time {share:.3}, read again {again:.4}");
+        (share, again)
+    });
+    assert!(at_once.0 > periodic.0, "{at_once:?} {periodic:?}");
+    assert!(at_once.1 < periodic.1, "{at_once:?} {periodic:?}");
+}
+
 #[test]
 fn hardly_a_prompt_is_read_for_nothing() {
     for per_s in [10.4, 13.0] {
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod lengths;
 mod loads;
 mod metrics;
+mod notify;
 mod outcome;
 mod peers;
 mod placing;
@@ -50,6 +51,8 @@
 #[cfg(test)]
 mod lengths_tests;
 #[cfg(test)]
+mod loads_tests;
+#[cfg(test)]
 mod peers_tests;
 #[cfg(test)]
 mod poison_tests;
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/loads.rs
@@ -70,16 +70,52 @@
 }
 
 /// Name of a piece of own work.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
 pub(crate) struct WorkId(u64);
 
+/// One piece of work as peers are told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) struct ToldRun {
+    id: WorkId,
+    endpoint: u64,
+    run: Run,
+}
+
+/// What an entry tells its peers of its work.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub(crate) enum ToldWork {
+    /// All that is under way.
+    All(Vec<ToldRun>),
+    /// What has begun and ended since the last word.
+    Changes {
+        begun: Vec<ToldRun>,
+        ended: Vec<WorkId>,
+    },
+}
+
+impl ToldWork {
+    /// Whether memory or slots may have become free.
+    pub(crate) fn may_free(&self) -> bool {
+        match self {
+            Self::All(_) => true,
+            Self::Changes { ended, .. } => !ended.is_empty(),
+        }
+    }
+}
+
+/// Work of one peer.
+type PeerWork = HashMap<WorkId, (u64, Run)>;
+
 /// Work of this entry and its peers.
 #[derive(Debug, Default)]
 pub(crate) struct Loads {
     next_id: u64,
     own: HashMap<WorkId, (u64, Work)>,
+    /// Own work that has begun or ended since peers were last told.
+    untold_begun: Vec<WorkId>,
+    untold_ended: Vec<WorkId>,
     /// Work of peers, by incarnation.
-    peers: HashMap<u64, Vec<(u64, Run)>>,
+    peers: HashMap<u64, PeerWork>,
 }
 
 impl Loads {
@@ -88,6 +124,7 @@
         self.next_id += 1;
         let id = WorkId(self.next_id);
         self.own.insert(id, (endpoint_key(endpoint), work));
+        self.untold_begun.push(id);
         id
     }
 
@@ -98,25 +135,49 @@
         }
     }
 
-    /// Notes the end of own work.
-    pub(crate) fn end(&mut self, id: WorkId) {
-        self.own.remove(&id);
+    /// Notes the end of own work; tells whether it held growing memory.
+    pub(crate) fn end(&mut self, id: WorkId) -> bool {
+        let ended = self.own.remove(&id);
+        self.untold_ended.push(id);
+        matches!(ended, Some((_, Work::Growing(_))))
     }
 
-    /// Own work, for peers.
-    #[must_use]
-    pub(crate) fn own(&self) -> Vec<(u64, Run)> {
-        self.own_runs().collect()
+    fn told(&self, id: WorkId) -> Option<ToldRun> {
+        let (endpoint, work) = self.own.get(&id)?;
+        Some(ToldRun {
+            id,
+            endpoint: *endpoint,
+            run: work.run(),
+        })
     }
 
-    fn own_runs(&self) -> impl Iterator<Item = (u64, Run)> {
-        let own = self.own.values();
-        own.map(|(endpoint, work)| (*endpoint, work.run()))
+    /// All own work, for peers.
+    pub(crate) fn tell_all(&mut self) -> ToldWork {
+        self.untold_begun.clear();
+        self.untold_ended.clear();
+        ToldWork::All(self.own.keys().filter_map(|id| self.told(*id)).collect())
+    }
+
+    /// Own work that has begun or ended since the last word, for peers.
+    pub(crate) fn tell_changes(&mut self) -> ToldWork {
+        let begun = std::mem::take(&mut self.untold_begun);
+        ToldWork::Changes {
+            begun: begun.into_iter().filter_map(|id| self.told(id)).collect(),
+            ended: std::mem::take(&mut self.untold_ended),
+        }
     }
 
-    /// Takes over what a peer has under way.
-    pub(crate) fn note_peer(&mut self, incarnation: u64, work: Vec<(u64, Run)>) {
-        self.peers.insert(incarnation, work);
+    /// Takes over what a peer tells.
+    pub(crate) fn note_peer(&mut self, incarnation: u64, told: ToldWork) {
+        let work = self.peers.entry(incarnation).or_default();
+        let entry = |told: ToldRun| (told.id, (told.endpoint, told.run));
+        match told {
+            ToldWork::All(all) => *work = all.into_iter().map(entry).collect(),
+            ToldWork::Changes { begun, ended } => {
+                work.extend(begun.into_iter().map(entry));
+                work.retain(|id, _| !ended.contains(id));
+            }
+        }
     }
 
     /// Forgets a peer that has ended.
@@ -124,12 +185,15 @@
         self.peers.remove(&incarnation);
     }
 
-    /// Work at an endpoint.
-    pub(crate) fn at(&self, endpoint: &EndpointId) -> Vec<Run> {
-        let key = endpoint_key(endpoint);
-        let of_peers = self.peers.values().flatten().copied();
-        let all = self.own_runs().chain(of_peers);
-        let here = all.filter(|(endpoint, _)| *endpoint == key);
-        here.map(|(_, run)| run).collect()
+    /// Work under way by the short names of endpoints.
+    pub(crate) fn by_endpoint(&self) -> HashMap<u64, Vec<Run>> {
+        let own = self.own.values();
+        let own = own.map(|(endpoint, work)| (*endpoint, work.run()));
+        let of_peers = self.peers.values().flat_map(HashMap::values).copied();
+        let mut runs: HashMap<u64, Vec<Run>> = HashMap::new();
+        for (endpoint, run) in own.chain(of_peers) {
+            runs.entry(endpoint).or_default().push(run);
+        }
+        runs
     }
 }
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -5,11 +5,16 @@
 use compio::net::UdpSocket;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Moment, entry::Entry, loads::Run, poison::Fingerprint, quota::ToldAccount};
+use crate::{
+    clock::Moment, entry::Entry, loads::ToldWork, poison::Fingerprint, quota::ToldAccount,
+};
 
-/// Shortest time between two heartbeats to a peer. Placements of other entries are unknown for about this long.
+/// Shortest time between two whole heartbeats to a peer. How far runs have got is unknown to others for about this long.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(40);
 
+/// Most datagrams a second in which an entry tells all its peers what it has placed since its last heartbeat.
+const CHANGES_PER_S: u32 = 1_000;
+
 /// Time for each known peer that is added to the period beyond a few, so that an entry's heartbeats don't grow with the fleet.
 const HEARTBEAT_PERIOD_PER_PEER: Duration = Duration::from_millis(8);
 
@@ -43,9 +48,11 @@
     pub(crate) incarnation: u64,
     /// Whether this is the last heartbeat: the entry's work has ended.
     pub(crate) is_ending: bool,
+    /// Grows with each heartbeat, so that one that comes late is known as such.
+    pub(crate) sequence: u64,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ToldAccount>,
-    pub(crate) work: Vec<(u64, Run)>,
+    pub(crate) work: ToldWork,
     /// Requests during which an endpoint crashed: a number that grows, and the fingerprint.
     pub(crate) crashes: Vec<(u64, u64)>,
 }
@@ -56,6 +63,18 @@
     /// Last heartbeat, or when the address became known.
     heard_at: Moment,
     last_crash: u64,
+    last_sequence: u64,
+}
+
+impl Peer {
+    const fn unheard(now: Moment) -> Self {
+        Self {
+            incarnation: None,
+            heard_at: now,
+            last_crash: 0,
+            last_sequence: 0,
+        }
+    }
 }
 
 /// Known entries, by the address that they send from.
@@ -63,6 +82,7 @@
 pub(crate) struct Peers {
     own: SocketAddr,
     incarnation: u64,
+    sequence: u64,
     known: HashMap<SocketAddr, Peer>,
     /// Incarnations that said goodbye, and when; others may still tell their addresses.
     ended: HashMap<SocketAddr, (u64, Moment)>,
@@ -78,17 +98,11 @@
             .iter()
             .map(|seed| SocketAddr::new(seed.ip(), own.port()))
             .filter(|address| *address != own);
-        let peer = |address| {
-            let peer = Peer {
-                incarnation: None,
-                heard_at: now,
-                last_crash: 0,
-            };
-            (address, peer)
-        };
+        let peer = |address| (address, Peer::unheard(now));
         Self {
             own,
             incarnation,
+            sequence: 0,
             known: addresses.map(peer).collect(),
             ended: HashMap::new(),
             last_crash: 0,
@@ -173,20 +187,42 @@
     }
 }
 
-/// Sends heartbeats until the entry's tasks are dropped.
+/// What a heartbeat tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Content {
+    All,
+    /// What has changed since the last heartbeat.
+    Changes,
+    /// All, for the last time.
+    Goodbye,
+}
+
+/// Sends heartbeats until the entry's tasks are dropped: whole ones in each period, and what was placed at once.
+///
+/// The load that this answers: tens of entries that place tens of requests a second. Those that don't know of each other's
+/// last placements send more to an endpoint than its memory holds.
 pub(crate) async fn send_heartbeats(entry: Rc<Entry>, socket: UdpSocket) {
+    let mut whole_at = Moment::now();
     loop {
-        send_heartbeat(&entry, &socket, false).await;
         let peers = entry.peers.borrow().known.len();
-        compio::time::sleep(heartbeat_period(peers)).await;
-        forget_ended(&entry);
+        let left = whole_at.since(Moment::now());
+        let changed = compio::time::timeout(left, entry.placements.changed()).await;
+        if changed.is_err() || whole_at <= Moment::now() {
+            whole_at = Moment::now() + heartbeat_period(peers);
+            send_heartbeat(&entry, &socket, Content::All).await;
+            forget_ended(&entry);
+        } else {
+            send_heartbeat(&entry, &socket, Content::Changes).await;
+            let pause = changes_pause(peers).min(whole_at.since(Moment::now()));
+            compio::time::sleep(pause).await;
+        }
     }
 }
 
 /// Tells the peers that this entry's work has ended.
 pub(crate) async fn say_goodbye(entry: &Entry, socket: &UdpSocket) {
     for _ in 0..GOODBYES {
-        send_heartbeat(entry, socket, true).await;
+        send_heartbeat(entry, socket, Content::Goodbye).await;
     }
 }
 
@@ -199,19 +235,38 @@
         .min(LONGEST_HEARTBEAT_PERIOD)
 }
 
-async fn send_heartbeat(entry: &Entry, socket: &UdpSocket, is_ending: bool) {
+/// Shortest time between two words on changes to each of some peers.
+pub(crate) fn changes_pause(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    Duration::from_secs(1).saturating_mul(peers) / CHANGES_PER_S
+}
+
+async fn send_heartbeat(entry: &Entry, socket: &UdpSocket, content: Content) {
     let (addresses, heartbeat) = {
         let now = Moment::now();
         let share = entry.quota_share(now);
         let mut peers = entry.peers.borrow_mut();
         let addresses: Vec<_> = peers.known.keys().copied().collect();
+        peers.sequence += 1;
         let mut quotas = entry.quotas.borrow_mut();
+        let mut loads = entry.loads.borrow_mut();
+        let (told_peers, accounts, work) = match content {
+            Content::All | Content::Goodbye => {
+                (peers.heard(now), quotas.told(share, now), loads.tell_all())
+            }
+            Content::Changes => (
+                Vec::new(),
+                quotas.told_changes(share, now),
+                loads.tell_changes(),
+            ),
+        };
         let heartbeat = Heartbeat {
             incarnation: peers.incarnation,
-            is_ending,
-            peers: peers.heard(now),
-            accounts: quotas.told(share, now),
-            work: entry.loads.borrow().own(),
+            is_ending: content == Content::Goodbye,
+            sequence: peers.sequence,
+            peers: told_peers,
+            accounts,
+            work,
             crashes: peers.crashes(),
         };
         (addresses, heartbeat)
@@ -268,20 +323,10 @@
         // Told addresses count as known from now on, but not as heard.
         let is_new = !peers.known.contains_key(&address) && !peers.ended.contains_key(&address);
         if address != own && address.port() == own.port() && is_new {
-            let heard_at = now;
-            let peer = Peer {
-                incarnation: None,
-                heard_at,
-                last_crash: 0,
-            };
-            peers.known.insert(address, peer);
+            peers.known.insert(address, Peer::unheard(now));
         }
     }
-    let peer = peers.known.entry(from).or_insert(Peer {
-        incarnation: None,
-        heard_at: now,
-        last_crash: 0,
-    });
+    let peer = peers.known.entry(from).or_insert(Peer::unheard(now));
     if now.since(peer.heard_at) > SILENT_AFTER {
         // Its share was withheld meanwhile, so what it charged since its last heartbeat must not count again.
         entry.quotas.borrow_mut().forget_peer(heartbeat.incarnation);
@@ -294,7 +339,13 @@
             entry.loads.borrow_mut().forget_peer(ended);
         }
         peer.last_crash = 0;
+        peer.last_sequence = 0;
     }
+    if heartbeat.sequence <= peer.last_sequence {
+        // It was overtaken by a later one, which has told more.
+        return;
+    }
+    peer.last_sequence = heartbeat.sequence;
     for (number, fingerprint) in heartbeat.crashes {
         if number > peer.last_crash {
             peer.last_crash = number;
@@ -307,8 +358,11 @@
     let mut quotas = entry.quotas.borrow_mut();
     quotas.note_peer(heartbeat.incarnation, heartbeat.accounts, share, now);
     let mut loads = entry.loads.borrow_mut();
+    let may_free = heartbeat.work.may_free();
     loads.note_peer(heartbeat.incarnation, heartbeat.work);
-    entry.placed.changed();
+    if may_free {
+        entry.placed.changed();
+    }
 }
 
 fn forget_ended(entry: &Entry) {
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     clock::Moment,
-    loads::Run,
-    peers::{Heartbeat, Peers, heartbeat_period},
+    loads::{Loads, Run, Work},
+    peers::{Heartbeat, Peers, changes_pause, heartbeat_period},
     quota::Quotas,
     testing::{at_ms, team},
 };
@@ -58,6 +58,19 @@
     );
 }
 
+#[test]
+fn words_on_changes_are_bounded_and_quick_in_a_fleet_of_tens() {
+    assert!(changes_pause(3) <= Duration::from_millis(5));
+    assert!(changes_pause(29) <= Duration::from_millis(30));
+    for peers in [3, 29, 349] {
+        let per_s = peers as f64 / changes_pause(peers).as_secs_f64();
+        assert!(
+            per_s <= 1_000.1,
+            "{per_s} datagrams a second to {peers} peers"
+        );
+    }
+}
+
 /// Bytes of a heartbeat of an entry with some runs under way, teams and peers.
 fn heartbeat_bytes(runs: usize, teams: usize, peers: u8) -> usize {
     let mut quotas = Quotas::default();
@@ -70,14 +83,18 @@
         held_tokens: 7_000,
         left_tokens: 4_000,
     };
+    let mut loads = Loads::default();
+    for number in 0..runs {
+        let endpoint = format!("endpoint-{number}").parse().expect("a name");
+        loads.begin(&endpoint, Work::Fixed(run));
+    }
     let heartbeat = Heartbeat {
         incarnation: u64::MAX / 3,
         is_ending: false,
+        sequence: 1_000,
         peers: seeds(peers),
         accounts: quotas.told(1.0, at_ms(0)),
-        work: (0..runs as u64)
-            .map(|number| (u64::MAX / (number + 2), run))
-            .collect(),
+        work: loads.tell_all(),
         crashes: Vec::new(),
     };
     postcard::to_stdvec(&heartbeat).expect("a heartbeat").len()
--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -1,22 +1,17 @@
 //! Requests for model engines wait here, at the entry, until a decode endpoint has room for them.
 
-use std::{
-    cell::{Cell, RefCell},
-    future::poll_fn,
-    rc::Rc,
-    task::Poll,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use camphorwall::{EndpointId, ServiceId};
 use futures_channel::oneshot;
-use futures_util::task::AtomicWaker;
 
 use crate::{
     choice::{Candidate, choose_decode},
     clock::Moment,
     configuration::{Endpoint, Stage},
     entry::Entry,
-    loads::{Expected, Work, WorkId},
+    loads::{Expected, Work, WorkId, endpoint_key},
+    notify::Notify,
 };
 
 /// Share of an engine's memory that the forecast of its runs may fill.
@@ -57,6 +52,7 @@
     /// Notes work at an endpoint.
     pub(crate) fn take(entry: &Rc<Entry>, endpoint: Rc<Endpoint>, work: Work) -> Self {
         let work = entry.loads.borrow_mut().begin(&endpoint.id, work);
+        entry.placements.notify();
         Self {
             entry: Rc::clone(entry),
             endpoint,
@@ -72,7 +68,10 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.entry.loads.borrow_mut().end(self.work);
+        let is_growing = self.entry.loads.borrow_mut().end(self.work);
+        if is_growing {
+            self.entry.placements.notify();
+        }
         self.entry.placed.changed();
     }
 }
@@ -81,15 +80,13 @@
 #[derive(Default)]
 pub(crate) struct Placing {
     waiters: RefCell<Vec<Waiter>>,
-    is_changed: Cell<bool>,
-    waker: AtomicWaker,
+    changes: Notify,
 }
 
 impl Placing {
     /// Tells that a place may have become free.
     pub(crate) fn changed(&self) {
-        self.is_changed.set(true);
-        self.waker.wake();
+        self.changes.notify();
     }
 
     /// Waits for a place; dropping the future gives the turn up.
@@ -108,24 +105,12 @@
     pub(crate) fn waiting(&self) -> usize {
         self.waiters.borrow().len()
     }
-
-    async fn until_changed(&self) {
-        poll_fn(|context| {
-            self.waker.register(context.waker());
-            if self.is_changed.take() {
-                Poll::Ready(())
-            } else {
-                Poll::Pending
-            }
-        })
-        .await;
-    }
 }
 
 /// Gives places to waiting requests until the entry's tasks are dropped.
 pub(crate) async fn give_places(entry: Rc<Entry>) {
     loop {
-        entry.placed.until_changed().await;
+        entry.placed.changes.changed().await;
         give_free_places(&entry);
     }
 }
@@ -192,10 +177,11 @@
         .collect();
     // Entries that rank alike must not all choose the same one.
     entry.shuffle(&mut endpoints);
+    let mut runs = loads.by_endpoint();
     let candidates = endpoints
         .iter()
         .map(|endpoint| Candidate {
-            runs: loads.at(&endpoint.id),
+            runs: runs.remove(&endpoint_key(&endpoint.id)).unwrap_or_default(),
             slots: endpoint.slots,
             is_near: endpoint.data_centre == *near,
             is_unreachable: suspicions.is_unreachable(&endpoint.id, now),
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -60,6 +60,8 @@
     updated_at: Moment,
     /// Sum of this entry's own charges less what it gave back.
     charged: f64,
+    /// What peers were last told of it.
+    told_charged: f64,
     /// Requests that wait here, in the order of their arrival.
     waiting: VecDeque<Waiting>,
 }
@@ -82,6 +84,16 @@
         fits
     }
 
+    fn tell(&mut self, team: &TeamId, share: f64, now: Moment) -> ToldAccount {
+        self.refill(share, now);
+        self.told_charged = self.charged;
+        ToldAccount {
+            team: team.clone(),
+            charged: self.charged,
+            level: self.level,
+        }
+    }
+
     /// Time until the level covers a cost and the cost of those that wait before it.
     fn wait(&self, cost: f64, before: f64, share: f64) -> Duration {
         let missing = before + cost.min(self.burst) - self.level;
@@ -116,6 +128,7 @@
             burst: team.burst,
             updated_at: now,
             charged: 0.0,
+            told_charged: 0.0,
             waiting: VecDeque::new(),
         };
         let account = self.accounts.entry(team.name.clone()).or_insert_with(fresh);
@@ -217,17 +230,22 @@
 
     /// This entry's accounts, for its peers.
     pub(crate) fn told(&mut self, share: f64, now: Moment) -> Vec<ToldAccount> {
-        let told = |(team, account): (&TeamId, &mut Account)| {
-            account.refill(share, now);
-            ToldAccount {
-                team: team.clone(),
-                charged: account.charged,
-                level: account.level,
-            }
-        };
+        let told = |(team, account): (&TeamId, &mut Account)| account.tell(team, share, now);
         self.accounts.iter_mut().map(told).collect()
     }
 
+    /// The accounts that were charged since the last word, for peers.
+    pub(crate) fn told_changes(&mut self, share: f64, now: Moment) -> Vec<ToldAccount> {
+        let accounts = self.accounts.iter_mut();
+        let is_changed = |(_, account): &(&TeamId, &mut Account)| {
+            account.charged.to_bits() != account.told_charged.to_bits()
+        };
+        let changed = accounts.filter(is_changed);
+        changed
+            .map(|(team, account)| account.tell(team, share, now))
+            .collect()
+    }
+
     /// Tokens that a team has left, as far as this entry knows.
     pub(crate) fn level(&self, team: &TeamId) -> Option<f64> {
         self.accounts.get(team).map(|account| account.level)
