--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -117,8 +117,6 @@
 /// What one model engine holds.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineLimits {
-    /// Requests that run at once.
-    pub slots: u32,
     /// KV memory in tokens.
     pub kv_capacity_tokens: u64,
     /// Tokens that one event of a stream may stand for.
