Look for room again although no word comes of a peer that died with requests waiting

Cause: a request with six or more before it at other entries waits for the next word of room; when the entry that told of them has died and no other speaks, none comes, and the request was refused with room for it (found by reading; the test shows it). Test: an entry, an empty endpoint and a peer that fell silent with eight older requests: no place within 2 s before, one after.

--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -55,6 +55,8 @@
 #[cfg(test)]
 mod peers_tests;
 #[cfg(test)]
+mod placing_tests;
+#[cfg(test)]
 mod poison_tests;
 #[cfg(test)]
 mod quota_tests;
--- a/crates/camphorwall-direct/src/placing.rs
+++ b/crates/camphorwall-direct/src/placing.rs
@@ -34,6 +34,9 @@
 /// its taking in.
 const TURN: Duration = Duration::from_millis(6);
 
+/// Longest time between two looks for room while requests wait: no word comes of a peer that has died with its own waiting.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Turns after room may have become free. The requests behind wait until it may have become so again.
 const MAX_TURNS: usize = 6;
 
@@ -161,7 +164,13 @@
 /// Gives places to waiting requests until the entry's tasks are dropped.
 pub(crate) async fn give_places(entry: Rc<Entry>) {
     loop {
-        entry.placed.changes.changed().await;
+        let changed = entry.placed.changes.changed();
+        if entry.placed.waiting() > 0 {
+            // A look without a change is as good as one after it.
+            let _ = compio::time::timeout(LOOK_PERIOD, changed).await;
+        } else {
+            changed.await;
+        }
         let mut present = 0;
         while let Some(next) = give_free_places(&entry, present) {
             let turns = u32::try_from(next - present).unwrap_or(1);
@@ -204,9 +213,7 @@
         let waiter = waiters.remove(index);
         // The receiver may be gone by now; its place is freed at once.
         if let Err(place) = waiter.sender.send(place) {
-            drop(waiters);
             drop(place);
-            waiters = entry.placed.waiters.borrow_mut();
         }
     }
     if is_left {
