--- a/crates/camphorwall-daemon/src/published/reader.rs
+++ b/crates/camphorwall-daemon/src/published/reader.rs
@@ -105,15 +105,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn an_answer_that_waited_in_the_buffers_of_a_paused_process_proves_no_more_than_its_watch() {
-        let asked_at = Instant::now();
-        let long = Duration::from_secs(60);
-        assert_eq!(answer_made_at(asked_at, true, long), asked_at + WATCH);
-        assert_eq!(answer_made_at(asked_at, false, long), asked_at);
-        assert_eq!(answer_made_at(asked_at, true, WATCH / 2), asked_at);
-    }
-}
+#[path = "reader_tests.rs"]
+mod tests;
