Let requests wait for their team's tokens as long as their callers do, after those that can be in time

Change: a request whose tokens come before its caller's patience ends waits. Those that can still be in time go first; the late ones go by the end of their callers' time, so one who was refused and came back goes before later ones. What can't be covered in time is refused at once. Peers tell the tokens that requests in time wait for. The line of a request tells its tokens.

--- a/crates/camphorwall-direct/src/charge.rs
+++ b/crates/camphorwall-direct/src/charge.rs
@@ -7,12 +7,13 @@
     configuration::{Route, Team},
     dialect::RequestFacts,
     entry::Entry,
-    quota::{Offer, Ticket},
+    quota::{Offer, Patience, Ticket},
     refusal::Refusal,
+    trail::Trail,
 };
 
-/// Part of the time to the target that a request may wait for its team's tokens.
-const PATIENCE: f64 = 0.5;
+/// Part of the time to the target that a request may wait for its team's tokens and still be answered in time.
+const ON_TIME_PART: f64 = 0.5;
 
 /// How often a waiting request looks whether its tokens are there.
 const LOOK_PERIOD: Duration = Duration::from_millis(30);
@@ -35,6 +36,7 @@
         facts: &RequestFacts,
         route: &Route,
         team: Option<Rc<Team>>,
+        trail: &Trail,
     ) -> Result<Self, Refusal> {
         let mut charge = Self {
             entry: Rc::clone(entry),
@@ -42,12 +44,18 @@
             cost: cost(facts, team.as_deref()),
             may_have_run: Cell::new(false),
         };
+        trail.tokens.set(charge.cost);
         let Some(team) = team else {
             return Ok(charge);
         };
         let now = Moment::now();
         let share = entry.quota_share(now);
-        let patience = Duration::from_millis(route.target_ms).mul_f64(PATIENCE);
+        let on_time = Duration::from_millis(route.target_ms).mul_f64(ON_TIME_PART);
+        let patience = Patience {
+            on_time_until: now + on_time,
+            start_by: trail.arrived_at + route.start_within(facts.deadline),
+            ends_at: trail.arrived_at + route.time_limit(facts.deadline),
+        };
         let offer = {
             let mut quotas = entry.quotas.borrow_mut();
             quotas.offer(&team, charge.cost, share, patience, now)
@@ -60,7 +68,7 @@
                     team: &team,
                     ticket,
                 };
-                if let Err(retry_after) = turn.wait(wait, now + patience).await {
+                if let Err(retry_after) = turn.wait(wait, patience.start_by).await {
                     return Err(over_quota(entry, facts, &team, retry_after));
                 }
             }
@@ -107,15 +115,15 @@
 }
 
 impl Turn<'_> {
-    /// Waits until the tokens are there, at most until a moment.
+    /// Waits until the tokens are there, at most until a moment, and no longer than they can be there by then.
     ///
     /// # Errors
     /// The time after which to come back.
-    async fn wait(&self, expected: Duration, until: Moment) -> Result<(), Duration> {
+    async fn wait(&self, expected: Duration, start_by: Moment) -> Result<(), Duration> {
         let mut wait = expected;
         loop {
-            let left = until.since(Moment::now());
-            if left.is_zero() {
+            let left = start_by.since(Moment::now());
+            if left < wait {
                 return Err(wait);
             }
             // Requests before this one may leave, so the forecast is looked at again meanwhile.
--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The published configuration as an entry uses it.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use camphorwall::{DataCentreId, EndpointId, ServiceId, TeamId};
 use strum::{Display, EnumString};
@@ -83,6 +83,8 @@
     pub target_ms: u64,
     /// Rank; 0 is the most urgent.
     pub priority: u32,
+    /// Time after which callers give up a request of which nothing has come.
+    pub patience_ms: u64,
     /// Services with their weights.
     pub services: Vec<(ServiceId, u32)>,
     /// Most endpoints that may run one request.
@@ -92,6 +94,23 @@
 }
 
 impl Route {
+    /// Time from a request's arrival after which its caller must have the final answer.
+    #[must_use]
+    pub fn time_limit(&self, deadline: Option<Duration>) -> Duration {
+        let timeout = Duration::from_millis(self.timeout_ms);
+        deadline.map_or(timeout, |deadline| deadline.min(timeout))
+    }
+
+    /// Time from a request's arrival within which an endpoint must begin with it: whoever begins later than a target
+    /// before the caller's patience ends works for a caller that may have left.
+    #[must_use]
+    pub fn start_within(&self, deadline: Option<Duration>) -> Duration {
+        let patience = Duration::from_millis(self.patience_ms).min(self.time_limit(deadline));
+        // A route may have no target of its own.
+        let work = Duration::from_millis(self.target_ms).min(patience / 2);
+        patience - work
+    }
+
     /// Picks a service by weight; `point` is uniform in 0..1.
     #[must_use]
     pub fn service(&self, point: f64) -> Option<&ServiceId> {
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -6,7 +6,7 @@
     peers::{Heartbeat, Peers, changes_pause, heartbeat_period},
     placing::{Rank, ToldWaiting, turn},
     quota::Quotas,
-    testing::{at_ms, team},
+    testing::{at_ms, patience_until, team},
 };
 
 const KEYS_END: Duration = Duration::from_secs(6);
@@ -124,7 +124,7 @@
     for number in 0..teams {
         let mut team = team(1e5, 1e5);
         team.name = format!("team-{number}").parse().expect("a name");
-        quotas.offer(&team, 1.0, 1.0, Duration::ZERO, at_ms(0));
+        quotas.offer(&team, 1.0, 1.0, patience_until(at_ms(0)), at_ms(0));
     }
     let run = Run {
         held_tokens: 7_000,
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -4,10 +4,7 @@
 //! A peer that has gone silent may still be charging. While it is silent, its even share of the rate is withheld here;
 //! it withholds the others' shares in the same way, so that the two sides of a partition stay within one contract.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use camphorwall::TeamId;
 use serde::{Deserialize, Serialize};
@@ -20,8 +17,11 @@
 /// A request of less than this part of the first waiting one's cost doesn't queue behind it.
 const SMALL_PART: f64 = 0.1;
 
+/// Time for which a peer's backlog counts; a living peer tells it anew at least each 240 ms.
+const BACKLOG_LIFE: Duration = Duration::from_millis(500);
+
 /// Name of a request that waits for its tokens.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Ticket(u64);
 
 /// Answer to a request for tokens.
@@ -35,10 +35,44 @@
     Refused(Duration),
 }
 
+/// How long a request may wait for its tokens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Patience {
+    /// Until then its answer can be in time, and it goes before those that can't be.
+    pub(crate) on_time_until: Moment,
+    /// Until then its caller can be served at all.
+    pub(crate) start_by: Moment,
+    /// End of its caller's own time.
+    pub(crate) ends_at: Moment,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     ticket: Ticket,
     cost: f64,
+    is_small: bool,
+    patience: Patience,
+}
+
+/// Order of waiting requests: the lowest goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Line {
+    Small(Ticket),
+    OnTime(Ticket),
+    /// By the end of the caller's time, so that one who comes back after a refusal goes before those who came later.
+    Late(Moment, Ticket),
+}
+
+impl Waiting {
+    fn line(&self, now: Moment) -> Line {
+        if self.is_small {
+            Line::Small(self.ticket)
+        } else if now < self.patience.on_time_until {
+            Line::OnTime(self.ticket)
+        } else {
+            Line::Late(self.patience.ends_at, self.ticket)
+        }
+    }
 }
 
 /// What an entry tells its peers of one team.
@@ -49,6 +83,8 @@
     charged: f64,
     /// Tokens that the team has left, as far as the entry knows.
     level: f64,
+    /// Tokens that requests wait for whose answers can be in time.
+    backlog: f32,
 }
 
 /// Charges of one team.
@@ -62,8 +98,11 @@
     charged: f64,
     /// What peers were last told of it.
     told_charged: f64,
-    /// Requests that wait here, in the order of their arrival.
-    waiting: VecDeque<Waiting>,
+    told_backlog: f32,
+    /// Requests that wait here.
+    waiting: Vec<Waiting>,
+    /// What requests wait for at peers, and when it was told.
+    peers_backlog: HashMap<u64, (Moment, f32)>,
 }
 
 impl Account {
@@ -87,13 +126,44 @@
     fn tell(&mut self, team: &TeamId, share: f64, now: Moment) -> ToldAccount {
         self.refill(share, now);
         self.told_charged = self.charged;
+        self.told_backlog = self.backlog(now);
         ToldAccount {
             team: team.clone(),
             charged: self.charged,
             level: self.level,
+            backlog: self.told_backlog,
         }
     }
 
+    /// Tokens that requests wait for here whose answers can be in time.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "a sum of some thousand tokens, told for a forecast"
+    )]
+    fn backlog(&self, now: Moment) -> f32 {
+        let on_time = self
+            .waiting
+            .iter()
+            .filter(|one| matches!(one.line(now), Line::OnTime(_)));
+        on_time.map(|one| one.cost).sum::<f64>() as f32
+    }
+
+    /// Tokens of those that go before a place in the line, here and at peers. Who of two entries' requests in time is
+    /// first is left to chance, and so it is with late ones.
+    fn before(&self, line: Line, now: Moment) -> f64 {
+        let here = self.waiting.iter().filter(|one| one.line(now) < line);
+        let here: f64 = here.map(|one| one.cost).sum();
+        let at_peers: f64 = match line {
+            Line::Late(..) => {
+                let told = self.peers_backlog.values();
+                let told = told.filter(|(at, _)| now.since(*at) <= BACKLOG_LIFE);
+                told.map(|(_, backlog)| f64::from(*backlog)).sum()
+            }
+            Line::Small(_) | Line::OnTime(_) => 0.0,
+        };
+        here + at_peers
+    }
+
     /// Time until the level covers a cost and the cost of those that wait before it.
     fn wait(&self, cost: f64, before: f64, share: f64) -> Duration {
         let missing = before + cost.min(self.burst) - self.level;
@@ -129,7 +199,9 @@
             updated_at: now,
             charged: 0.0,
             told_charged: 0.0,
-            waiting: VecDeque::new(),
+            told_backlog: 0.0,
+            waiting: Vec::new(),
+            peers_backlog: HashMap::new(),
         };
         let account = self.accounts.entry(team.name.clone()).or_insert_with(fresh);
         account.refill(share, now);
@@ -143,13 +215,15 @@
     ///
     /// The load that this answers: a team within its rate whose requests come in clumps, and one far beyond it. A
     /// burst may be as small as two large requests, so a refusal at once would turn away what fits a moment later;
-    /// small requests must not wait behind large ones.
+    /// small requests must not wait behind large ones. A clump that the account covers only after the target is served
+    /// late rather than refused: its callers wait longer than that, and a refused one comes back late as well, or not at
+    /// all. Those behind it whose answers can be in time go first, so that one clump doesn't delay all that follow.
     pub(crate) fn offer(
         &mut self,
         team: &Team,
         cost: f64,
         share: f64,
-        patience: Duration,
+        patience: Patience,
         now: Moment,
     ) -> Offer {
         let Some(rate_per_s) = team.rate_per_s else {
@@ -157,22 +231,28 @@
         };
         let ticket = Ticket(self.next_ticket);
         let account = self.account(team, rate_per_s, share, now);
-        let first = account.waiting.front();
-        let may_pass = first.is_none_or(|first| cost < first.cost * SMALL_PART);
-        if may_pass && account.take(cost) {
+        let large = |one: &Waiting| !one.is_small && cost < one.cost * SMALL_PART;
+        let mut waiting = Waiting {
+            ticket,
+            cost,
+            is_small: account.waiting.iter().any(large),
+            patience,
+        };
+        let before = account.before(waiting.line(now), now);
+        if before == 0.0 && account.take(cost) {
             return Offer::Taken;
         }
-        let before: f64 = account.waiting.iter().map(|waiting| waiting.cost).sum();
-        let wait = account.wait(cost, if may_pass { 0.0 } else { before }, share);
-        if wait > patience {
-            return Offer::Refused(wait);
+        let mut wait = account.wait(cost, before, share);
+        if !waiting.is_small && now + wait > patience.on_time_until {
+            // It goes to those that are late at once, or it would take the turn of one that can be in time.
+            waiting.patience.on_time_until = now;
+            let before = account.before(waiting.line(now), now);
+            wait = account.wait(cost, before, share);
         }
-        let waiting = Waiting { ticket, cost };
-        if may_pass {
-            account.waiting.push_front(waiting);
-        } else {
-            account.waiting.push_back(waiting);
+        if now + wait > patience.start_by {
+            return Offer::Refused(wait);
         }
+        account.waiting.push(waiting);
         self.next_ticket += 1;
         Offer::Wait(ticket, wait)
     }
@@ -192,25 +272,17 @@
             return Ok(());
         };
         let account = self.account(team, rate_per_s, share, now);
-        let place = account
-            .waiting
-            .iter()
-            .position(|waiting| waiting.ticket == ticket);
+        let place = account.waiting.iter().position(|one| one.ticket == ticket);
         let Some(place) = place else {
             return Ok(());
         };
-        let before: f64 = account
-            .waiting
-            .iter()
-            .take(place)
-            .map(|waiting| waiting.cost)
-            .sum();
-        let cost = account.waiting[place].cost;
-        if place == 0 && account.take(cost) {
-            account.waiting.pop_front();
+        let own = account.waiting[place];
+        let before = account.before(own.line(now), now);
+        if before == 0.0 && account.take(own.cost) {
+            account.waiting.remove(place);
             return Ok(());
         }
-        Err(account.wait(cost, before, share))
+        Err(account.wait(own.cost, before, share))
     }
 
     /// Ends the wait of a request that has no tokens yet.
@@ -239,6 +311,7 @@
         let accounts = self.accounts.iter_mut();
         let is_changed = |(_, account): &(&TeamId, &mut Account)| {
             account.charged.to_bits() != account.told_charged.to_bits()
+                || account.backlog(now).to_bits() != account.told_backlog.to_bits()
         };
         let changed = accounts.filter(is_changed);
         changed
@@ -267,6 +340,9 @@
                 self.told_levels.insert(peer.team, peer.level);
                 continue;
             };
+            account
+                .peers_backlog
+                .insert(incarnation, (now, peer.backlog));
             // What overflowed until now must not cover what was charged just now.
             account.refill(share, now);
             account.level = match before {
@@ -279,5 +355,8 @@
     /// Forgets what a peer has told, since it has ended or was silent; its next heartbeat counts as its first.
     pub(crate) fn forget_peer(&mut self, incarnation: u64) {
         self.told.remove(&incarnation);
+        for account in self.accounts.values_mut() {
+            account.peers_backlog.remove(&incarnation);
+        }
     }
 }
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -6,16 +6,25 @@
 use crate::{
     clock::Moment,
     configuration::Team,
-    quota::{Offer, Quotas, usable_share},
-    testing::{at_ms, team},
+    quota::{Offer, Patience, Quotas, Ticket, usable_share},
+    testing::{at_ms, patience_until, team},
 };
 
-const NO_PATIENCE: Duration = Duration::ZERO;
-const PATIENCE: Duration = Duration::from_millis(450);
+/// Half the target of a draft.
+const ON_TIME: Duration = Duration::from_millis(450);
+
+/// A caller that doesn't wait.
+fn no_patience(now: Moment) -> Patience {
+    patience_until(now)
+}
+
+fn patience(now: Moment) -> Patience {
+    patience_until(now + ON_TIME)
+}
 
 fn take_all(quotas: &mut Quotas, team: &Team, cost: f64, now: Moment) -> f64 {
     let mut taken = 0.0;
-    while quotas.offer(team, cost, 1.0, NO_PATIENCE, now) == Offer::Taken {
+    while quotas.offer(team, cost, 1.0, no_patience(now), now) == Offer::Taken {
         taken += cost;
     }
     taken
@@ -34,9 +43,9 @@
 fn a_refusal_tells_when_the_tokens_will_be_there() {
     let (mut quotas, team) = (Quotas::default(), team(1_000.0, 500.0));
     take_all(&mut quotas, &team, 50.0, at_ms(0));
-    let refused = quotas.offer(&team, 300.0, 1.0, NO_PATIENCE, at_ms(0));
+    let refused = quotas.offer(&team, 300.0, 1.0, no_patience(at_ms(0)), at_ms(0));
     assert_eq!(refused, Offer::Refused(Duration::from_millis(300)));
-    let back = quotas.offer(&team, 300.0, 1.0, NO_PATIENCE, at_ms(300));
+    let back = quotas.offer(&team, 300.0, 1.0, no_patience(at_ms(300)), at_ms(300));
     assert_eq!(back, Offer::Taken);
 }
 
@@ -48,7 +57,7 @@
         let now = at_ms(second * 1_000);
         let mut tickets = Vec::new();
         for _ in 0..3 {
-            match quotas.offer(&team, 1_000.0, 1.0, PATIENCE, now) {
+            match quotas.offer(&team, 1_000.0, 1.0, patience(now), now) {
                 Offer::Taken => {}
                 Offer::Wait(ticket, wait) => tickets.push((ticket, wait)),
                 Offer::Refused(after) => panic!("refused for {after:?} in second {second}"),
@@ -64,13 +73,13 @@
 fn small_requests_pass_large_ones_that_wait() {
     let (mut quotas, team) = (Quotas::default(), team(10_000.0, 10_000.0));
     assert_eq!(
-        quotas.offer(&team, 9_000.0, 1.0, PATIENCE, at_ms(0)),
+        quotas.offer(&team, 9_000.0, 1.0, patience(at_ms(0)), at_ms(0)),
         Offer::Taken
     );
-    let large = quotas.offer(&team, 4_000.0, 1.0, PATIENCE, at_ms(0));
+    let large = quotas.offer(&team, 4_000.0, 1.0, patience(at_ms(0)), at_ms(0));
     assert!(matches!(large, Offer::Wait(..)), "{large:?}");
     assert_eq!(
-        quotas.offer(&team, 200.0, 1.0, PATIENCE, at_ms(0)),
+        quotas.offer(&team, 200.0, 1.0, patience(at_ms(0)), at_ms(0)),
         Offer::Taken
     );
 }
@@ -78,11 +87,13 @@
 #[test]
 fn large_requests_keep_their_order() {
     let (mut quotas, team) = (Quotas::default(), team(10_000.0, 10_000.0));
-    quotas.offer(&team, 10_000.0, 1.0, PATIENCE, at_ms(0));
-    let Offer::Wait(first, _) = quotas.offer(&team, 3_000.0, 1.0, PATIENCE, at_ms(0)) else {
+    quotas.offer(&team, 10_000.0, 1.0, patience(at_ms(0)), at_ms(0));
+    let Offer::Wait(first, _) = quotas.offer(&team, 3_000.0, 1.0, patience(at_ms(0)), at_ms(0))
+    else {
         panic!("the first must wait");
     };
-    let Offer::Wait(second, _) = quotas.offer(&team, 1_000.0, 1.0, PATIENCE, at_ms(0)) else {
+    let Offer::Wait(second, _) = quotas.offer(&team, 1_000.0, 1.0, patience(at_ms(0)), at_ms(0))
+    else {
         panic!("the second must wait");
     };
     assert!(quotas.claim(&team, second, 1.0, at_ms(250)).is_err());
@@ -93,11 +104,13 @@
 #[test]
 fn a_request_that_leaves_the_queue_lets_the_next_one_go() {
     let (mut quotas, team) = (Quotas::default(), team(10_000.0, 10_000.0));
-    quotas.offer(&team, 10_000.0, 1.0, PATIENCE, at_ms(0));
-    let Offer::Wait(first, _) = quotas.offer(&team, 3_000.0, 1.0, PATIENCE, at_ms(0)) else {
+    quotas.offer(&team, 10_000.0, 1.0, patience(at_ms(0)), at_ms(0));
+    let Offer::Wait(first, _) = quotas.offer(&team, 3_000.0, 1.0, patience(at_ms(0)), at_ms(0))
+    else {
         panic!("the first must wait");
     };
-    let Offer::Wait(second, _) = quotas.offer(&team, 1_000.0, 1.0, PATIENCE, at_ms(0)) else {
+    let Offer::Wait(second, _) = quotas.offer(&team, 1_000.0, 1.0, patience(at_ms(0)), at_ms(0))
+    else {
         panic!("the second must wait");
     };
     quotas.withdraw(&team.name, first);
@@ -110,7 +123,7 @@
     take_all(&mut quotas, &team, 500.0, at_ms(0));
     quotas.give_back(&team.name, 500.0);
     assert_eq!(
-        quotas.offer(&team, 500.0, 1.0, NO_PATIENCE, at_ms(0)),
+        quotas.offer(&team, 500.0, 1.0, no_patience(at_ms(0)), at_ms(0)),
         Offer::Taken
     );
 }
@@ -123,7 +136,7 @@
     let mut new = Quotas::default();
     new.note_peer(1, old.told(1.0, at_ms(0)), 1.0, at_ms(0));
     assert!(matches!(
-        new.offer(&team, 100.0, 1.0, NO_PATIENCE, at_ms(0)),
+        new.offer(&team, 100.0, 1.0, no_patience(at_ms(0)), at_ms(0)),
         Offer::Refused(_)
     ));
 }
@@ -138,8 +151,13 @@
     // A cut of eight seconds, in which each side takes its half of the rate.
     for second in 1..=8 {
         for quotas in [&mut here, &mut there] {
-            while quotas.offer(&team, 1_000.0, 0.5, NO_PATIENCE, at_ms(second * 1_000))
-                == Offer::Taken
+            while quotas.offer(
+                &team,
+                1_000.0,
+                0.5,
+                no_patience(at_ms(second * 1_000)),
+                at_ms(second * 1_000),
+            ) == Offer::Taken
             {}
         }
     }
@@ -157,7 +175,7 @@
     // Both open their accounts, then only one is asked.
     for quotas in [&mut idle, &mut busy] {
         assert_eq!(
-            quotas.offer(&team, 0.0, 1.0, NO_PATIENCE, at_ms(0)),
+            quotas.offer(&team, 0.0, 1.0, no_patience(at_ms(0)), at_ms(0)),
             Offer::Taken
         );
     }
@@ -193,7 +211,7 @@
             let share = usable_share(entries, silent);
             let asked = random.random_range(0..3);
             for _ in 0..asked {
-                if quotas[index].offer(team, cost, share, NO_PATIENCE, at_ms(now_ms))
+                if quotas[index].offer(team, cost, share, no_patience(at_ms(now_ms)), at_ms(now_ms))
                     == Offer::Taken
                 {
                     taken.push(now_ms);
@@ -247,3 +265,90 @@
     let contract = 20_000.0 * 8.0 + 20_000.0;
     assert!(most <= contract * 1.1, "{most} of {contract}");
 }
+
+/// What the callers of a team got.
+#[derive(Debug, Default)]
+struct Served {
+    asked: u32,
+    on_time: u32,
+    served: u32,
+}
+
+/// A team whose drafts come in bursts of 2.3 times its rate for two seconds, below its rate in between. Callers wait for
+/// 2.7 s and come back once after a refusal, as they were told.
+fn bursts(held: Duration, seed: u64) -> Served {
+    const STEP_MS: u64 = 10;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (mut quotas, team) = (Quotas::default(), team(48_000.0, 48_000.0));
+    let mut result = Served::default();
+    let mut waiting: Vec<(Ticket, Patience, u64, bool)> = Vec::new();
+    let mut returning: Vec<(u64, u64, f64)> = Vec::new();
+    let mut costs = std::collections::HashMap::new();
+    for now_ms in (0..36_000).step_by(10) {
+        let now = at_ms(now_ms);
+        let mut asking: Vec<(u64, f64, bool)> = Vec::new();
+        let is_burst = matches!(now_ms / 1_000, 6..8 | 17..19 | 27..29);
+        let per_s = if is_burst { 18.4 } else { 4.0 };
+        if now_ms < 33_000 && random.random::<f64>() < per_s * STEP_MS as f64 / 1_000.0 {
+            result.asked += 1;
+            asking.push((now_ms, random.random_range(2_000.0..10_000.0), false));
+        }
+        let back = returning.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms);
+        asking.extend(back.map(|(_, first_ms, cost)| (first_ms, cost, true)));
+        let mut refuse = |first_ms: u64, cost: f64, after: Duration, is_second: bool| {
+            if !is_second {
+                let after_ms = u64::try_from(after.as_millis()).expect("some seconds");
+                returning.push((now_ms + after_ms.min(4_600), first_ms, cost));
+            }
+        };
+        let mut serve = |first_ms: u64| {
+            result.served += 1;
+            result.on_time += u32::from(now_ms - first_ms <= 450);
+        };
+        waiting.retain(|(ticket, patience, first_ms, is_second)| {
+            let Err(longer) = quotas.claim(&team, *ticket, 1.0, now) else {
+                serve(*first_ms);
+                return false;
+            };
+            let is_kept = now + longer <= patience.start_by;
+            if !is_kept {
+                quotas.withdraw(&team.name, *ticket);
+                refuse(*first_ms, costs[&ticket.clone()], longer, *is_second);
+            }
+            is_kept
+        });
+        for (first_ms, cost, is_second) in asking {
+            let patience = Patience {
+                on_time_until: now + ON_TIME.min(held),
+                start_by: now + held,
+                ends_at: at_ms(first_ms + 14_000),
+            };
+            match quotas.offer(&team, cost, 1.0, patience, now) {
+                Offer::Taken => serve(first_ms),
+                Offer::Wait(ticket, _) => {
+                    costs.insert(ticket, cost);
+                    waiting.push((ticket, patience, first_ms, is_second));
+                }
+                Offer::Refused(after) => refuse(first_ms, cost, after, is_second),
+            }
+        }
+    }
+    result
+}
+
+#[test]
+fn bursts_that_an_account_covers_late_are_served_late_and_delay_nobody_else() {
+    for seed in 1..=5 {
+        let (refusing, holding) = (
+            bursts(ON_TIME, seed),
+            bursts(Duration::from_millis(2_700), seed),
+        );
+        println!("refusing {refusing:?}, holding {holding:?}");
+        let unserved = |served: &Served| served.asked - served.served;
+        assert_eq!(unserved(&holding), 0, "{holding:?}");
+        assert!(
+            holding.on_time >= refusing.on_time * 95 / 100,
+            "{holding:?} {refusing:?}"
+        );
+    }
+}
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -47,6 +47,8 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
+    /// Last moment at which an endpoint can begin its work, so that the caller still waits for it.
+    pub(crate) start_by: Moment,
     pub(crate) trail: Rc<Trail>,
     pub(crate) charge: Charge,
     _body_guard: BodyGuard,
@@ -181,7 +183,8 @@
     let service = route.service(entry.random()).cloned();
     let service = service.ok_or_else(|| Refusal::not_run(RequestEnd::RouteWithoutService, SOON))?;
     entry.retries.borrow_mut().earn(&service, now);
-    let charge = Charge::take(entry, &facts, &route, team.clone()).await?;
+    let charging = Charge::take(entry, &facts, &route, team.clone(), trail);
+    let charge = charging.await?;
     Trail::add(&trail.quota_wait, now);
     // The key may have been withdrawn while the body came, or the tokens.
     check_fresh(entry, &route, &configuration)?;
@@ -192,7 +195,8 @@
         headers: parts.headers,
         body,
         charge,
-        ends_at: trail.arrived_at + time_limit(&route, &facts),
+        ends_at: trail.arrived_at + route.time_limit(facts.deadline),
+        start_by: trail.arrived_at + route.start_within(facts.deadline),
         arrived_at: trail.arrived_at,
         facts,
         route,
@@ -210,13 +214,6 @@
     }
 }
 
-/// Time from the arrival after which the caller must have its final answer.
-fn time_limit(route: &Route, facts: &RequestFacts) -> Duration {
-    let timeout = Duration::from_millis(route.timeout_ms);
-    let deadline = facts.deadline.unwrap_or(timeout);
-    deadline.min(timeout)
-}
-
 /// What stays the same when a caller sends a request again.
 fn fingerprint(uri: &Uri, facts: &RequestFacts, body: &[u8]) -> Fingerprint {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::Moment,
     configuration::{Endpoint, Stage, Team},
+    quota::Patience,
 };
 
 /// A moment, in milliseconds after the clock's origin.
@@ -26,6 +27,15 @@
     }
 }
 
+/// A caller that wants its answer in time or not at all.
+pub(crate) fn patience_until(end: Moment) -> Patience {
+    Patience {
+        on_time_until: end,
+        start_by: end,
+        ends_at: end,
+    }
+}
+
 pub(crate) fn endpoint_id(name: &str) -> EndpointId {
     name.parse().expect("a name")
 }
--- a/crates/camphorwall-direct/src/trail.rs
+++ b/crates/camphorwall-direct/src/trail.rs
@@ -34,6 +34,8 @@
     pub(crate) team: RefCell<Option<TeamId>>,
     pub(crate) route: RefCell<Option<Box<str>>>,
     pub(crate) configuration_version: Cell<u64>,
+    /// Tokens of its team's contract that it takes.
+    pub(crate) tokens: Cell<f64>,
     /// Time that it waited for its team's tokens.
     pub(crate) quota_wait: Cell<Duration>,
     /// Time that it waited for a decode place.
@@ -62,6 +64,7 @@
             team: RefCell::default(),
             route: RefCell::default(),
             configuration_version: Cell::default(),
+            tokens: Cell::default(),
             quota_wait: Cell::default(),
             place_wait: Cell::default(),
             prefill: Cell::default(),
@@ -135,6 +138,7 @@
                     route = self.route.borrow().as_deref().unwrap_or_default(),
                     team = self.team.borrow().as_ref().map(tracing::field::display),
                     configuration = self.configuration_version.get(),
+                    tokens = self.tokens.get(),
                     quota_wait_ms = ms(self.quota_wait.get()),
                     place_wait_ms = ms(self.place_wait.get()),
                     prefill_ms = ms(self.prefill.get()),
