--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -108,7 +108,7 @@
         let patience = Duration::from_millis(self.patience_ms).min(self.time_limit(deadline));
         // A route may have no target of its own.
         let work = Duration::from_millis(self.target_ms).min(patience / 2);
-        patience - work
+        patience.saturating_sub(work)
     }
 
     /// Picks a service by weight; `point` is uniform in 0..1.
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -268,7 +268,7 @@
 
 /// What the callers of a team got.
 #[derive(Debug, Default)]
-struct Served {
+struct Tally {
     asked: u32,
     on_time: u32,
     served: u32,
@@ -276,11 +276,11 @@
 
 /// A team whose drafts come in bursts of 2.3 times its rate for two seconds, below its rate in between. Callers wait for
 /// 2.7 s and come back once after a refusal, as they were told.
-fn bursts(held: Duration, seed: u64) -> Served {
+fn bursts(held: Duration, seed: u64) -> Tally {
     const STEP_MS: u64 = 10;
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let (mut quotas, team) = (Quotas::default(), team(48_000.0, 48_000.0));
-    let mut result = Served::default();
+    let mut result = Tally::default();
     let mut waiting: Vec<(Ticket, Patience, u64, bool)> = Vec::new();
     let mut returning: Vec<(u64, u64, f64)> = Vec::new();
     let mut costs = std::collections::HashMap::new();
@@ -344,7 +344,7 @@
             bursts(Duration::from_millis(2_700), seed),
         );
         println!("refusing {refusing:?}, holding {holding:?}");
-        let unserved = |served: &Served| served.asked - served.served;
+        let unserved = |served: &Tally| served.asked - served.served;
         assert_eq!(unserved(&holding), 0, "{holding:?}");
         assert!(
             holding.on_time >= refusing.on_time * 95 / 100,
