Have two entries of each data centre read the store, and the others follow these

Cause: each of 103 entries keeps a watch of its own, renewed each 1.5 s and woken by each change.

Change: rendezvous over the addresses that are heard picks two readers of a data centre. The others ask one of them as they would ask the store; an answer tells the registrations that changed, the revision of the newest configuration, the age of the reader's own proof and how long the question waited. A follower counts from when it asked, so an answer that was held up proves no more than it may. It reads configurations itself (they are large and links of small machines narrow), first from a copy, which costs a tenth. A reader that fails, or whose proof is older than 2 s, is passed over for 3 s; with none left an entry reads the store. Calls grow with the data centres now, not with the entries.

Tests: choice of readers at 3 to 200 entries, loss of readers; proofs over HTTP; fleets of four and five entries: changes reach followers, a key that is withdrawn as the readers fail closes, no key is served longer than the store proves it, readers that stop are replaced. While writing them the stand-in of the store lost changes that came in the last 10 ms of a watch; it tells them now. The fleets' addresses are chosen together, since ports that were freed one by one were taken twice (seen once in three runs).

--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -28,6 +28,15 @@
 /// Reads a configuration from an item; `None` for an item that holds none.
 pub type ReadConfiguration = fn(key: &str, value: &[u8]) -> Option<Result<Configuration, String>>;
 
+/// How new the answer of a read must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reading {
+    /// It has all that the store acknowledged before.
+    Fresh,
+    /// It may be seconds old, and costs the store less.
+    MayBeOld,
+}
+
 /// Functions of the adapter for the configuration store.
 #[derive(Clone, Copy)]
 pub struct StoreDialect {
@@ -36,7 +45,7 @@
     /// Prefix of the keys under which endpoints register.
     pub endpoints_prefix: &'static str,
     /// Path and query that list the items below a prefix, after a key.
-    pub list_path: fn(prefix: &str, after: Option<&str>) -> String,
+    pub list_path: fn(prefix: &str, after: Option<&str>, reading: Reading) -> String,
     /// Path and query that wait for changes below a prefix, after a revision.
     pub watch_path: fn(prefix: &str, after: u64, wait: Duration) -> String,
     /// Reads a page of a list.
--- a/crates/camphorwall-direct/src/documentation_tests.rs
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -1,6 +1,11 @@
 //! The operators' page lists what the code writes.
 
-use std::{collections::BTreeSet, fs, path::Path, time::Duration};
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use camphorwall::RequestEnd;
 use strum::IntoEnumIterator as _;
@@ -25,12 +30,24 @@
     section.lines().filter_map(first_cell).collect()
 }
 
+/// Source files below a folder.
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("the sources");
+    let paths = entries.map(|entry| entry.expect("a file").path());
+    let below = |path: PathBuf| {
+        if path.is_dir() {
+            sources(&path)
+        } else {
+            vec![path]
+        }
+    };
+    paths.flat_map(below).collect()
+}
+
 /// Events that the sources of a crate write.
 fn events() -> BTreeSet<String> {
-    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
     let mut events = BTreeSet::new();
-    for file in fs::read_dir(sources).expect("the sources") {
-        let path = file.expect("a file").path();
+    for path in sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src")) {
         if path.to_string_lossy().ends_with("_tests.rs") {
             continue;
         }
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -27,6 +27,7 @@
     registry::Registry,
     retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
+    store::{Image, centre_key},
     suspicion::Suspicions,
     trail::Sampler,
     upstream::{Connection, SendError},
@@ -79,6 +80,10 @@
     body_bytes: Cell<usize>,
     pub(crate) dialect: Dialect,
     pub(crate) registry: RefCell<Registry>,
+    /// What the entries that follow this one are told of the store.
+    pub(crate) image: RefCell<Image>,
+    /// Whether this entry reads the store itself.
+    pub(crate) reads_store: Cell<bool>,
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
@@ -152,13 +157,16 @@
         let mut random = SmallRng::from_rng(&mut rand::rng());
         let incarnation = random.random();
         let bounds = retry_bounds(&settings);
-        let peers = Peers::new(settings.peer_address, &settings.seeds, incarnation);
+        let centre = centre_key(&settings.data_centre);
+        let peers = Peers::new(settings.peer_address, centre, &settings.seeds, incarnation);
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             settings_path,
             body_bytes: Cell::new(0),
             dialect,
             registry: RefCell::default(),
+            image: RefCell::default(),
+            reads_store: Cell::new(false),
             quotas: RefCell::default(),
             retries: RefCell::new(RetryBudget::new(bounds)),
             lengths: RefCell::default(),
@@ -381,6 +389,7 @@
             waiting: self.placed.waiting(),
             peers_known: peers.count() - 1,
             peers_silent: peers.silent(self.keys_end(), now),
+            reads_store: self.reads_store.get(),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
         })
     }
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -10,7 +10,6 @@
 mod dialect;
 mod entry;
 mod events;
-mod follow;
 mod lengths;
 mod loads;
 mod metrics;
@@ -29,6 +28,7 @@
 mod run;
 mod settings;
 mod signals;
+mod store;
 mod stream;
 mod suspicion;
 mod trail;
@@ -47,8 +47,6 @@
 #[cfg(test)]
 mod events_tests;
 #[cfg(test)]
-mod follow_tests;
-#[cfg(test)]
 mod lengths_tests;
 #[cfg(test)]
 mod loads_tests;
@@ -76,8 +74,8 @@
 };
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
-    AnswerFacts, Changes, Dialect, KvHandle, Page, ReadConfiguration, RequestFacts, Sending,
-    StoreDialect, StoreItem,
+    AnswerFacts, Changes, Dialect, KvHandle, Page, ReadConfiguration, Reading, RequestFacts,
+    Sending, StoreDialect, StoreItem,
 };
 pub use run::{Order, StartError, run};
 pub use settings::{Bounds, DirectSettings};
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -67,6 +67,7 @@
     pub(crate) waiting: usize,
     pub(crate) peers_known: usize,
     pub(crate) peers_silent: usize,
+    pub(crate) reads_store: bool,
     pub(crate) log_lines_dropped: u64,
 }
 
@@ -83,6 +84,7 @@
     waiting: Gauge<u64, AtomicU64>,
     peers_known: Gauge<u64, AtomicU64>,
     peers_silent: Gauge<u64, AtomicU64>,
+    reads_store: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
 }
 
@@ -115,6 +117,7 @@
             waiting: Gauge::default(),
             peers_known: Gauge::default(),
             peers_silent: Gauge::default(),
+            reads_store: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
         metrics.register();
@@ -169,6 +172,11 @@
             "Other entries whose share of quotas is withheld",
             &self.peers_silent,
         );
+        gauge(
+            "reads_store",
+            "1 while the entry reads the store for its data centre, 0 while it follows another",
+            &self.reads_store,
+        );
         gauge(
             "log_lines_dropped",
             "Log lines that found the ring full",
@@ -226,6 +234,7 @@
         self.waiting.set(levels.waiting as u64);
         self.peers_known.set(levels.peers_known as u64);
         self.peers_silent.set(levels.peers_silent as u64);
+        self.reads_store.set(u64::from(levels.reads_store));
         self.log_lines_dropped.set(levels.log_lines_dropped);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry.borrow()) {
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -12,6 +12,7 @@
     placing::{Rank, ToldWaiting},
     poison::Fingerprint,
     quota::ToldAccount,
+    store::{CentreKey, Neighbour},
 };
 
 /// Shortest time between two whole heartbeats to a peer. How far runs have got is unknown to others for about this long.
@@ -55,6 +56,10 @@
     pub(crate) is_ending: bool,
     /// Grows with each heartbeat, so that one that comes late is known as such.
     pub(crate) sequence: u64,
+    /// Short name of the entry's data centre.
+    pub(crate) data_centre: CentreKey,
+    /// Whether it reads the store, so that others may follow it.
+    pub(crate) reads_store: bool,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ToldAccount>,
     pub(crate) work: ToldWork,
@@ -73,6 +78,10 @@
     last_sequence: u64,
     /// Requests that wait there, with their short names of services.
     waiting: Vec<(u64, Rank)>,
+    data_centre: CentreKey,
+    reads_store: bool,
+    /// Until when this entry doesn't follow it.
+    avoided_until: Moment,
 }
 
 impl Peer {
@@ -83,6 +92,9 @@
             last_crash: 0,
             last_sequence: 0,
             waiting: Vec::new(),
+            data_centre: 0,
+            reads_store: false,
+            avoided_until: now,
         }
     }
 }
@@ -91,6 +103,7 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     own: SocketAddr,
+    data_centre: CentreKey,
     incarnation: u64,
     sequence: u64,
     known: HashMap<SocketAddr, Peer>,
@@ -102,29 +115,56 @@
 
 impl Peers {
     /// Makes the state with the addresses of the seeds.
-    pub(crate) fn new(own: SocketAddr, seeds: &[SocketAddr], incarnation: u64) -> Self {
-        let now = Moment::now();
-        let addresses = seeds
-            .iter()
-            .map(|seed| SocketAddr::new(seed.ip(), own.port()))
-            .filter(|address| *address != own);
-        let peer = |address| (address, Peer::unheard(now));
-        Self {
+    pub(crate) fn new(
+        own: SocketAddr,
+        data_centre: CentreKey,
+        seeds: &[SocketAddr],
+        incarnation: u64,
+    ) -> Self {
+        let mut peers = Self {
             own,
+            data_centre,
             incarnation,
             sequence: 0,
-            known: addresses.map(peer).collect(),
+            known: HashMap::new(),
             ended: HashMap::new(),
             last_crash: 0,
             untold: Vec::new(),
-        }
+        };
+        peers.add_seeds(seeds);
+        peers
     }
 
     /// Takes further seeds over.
     pub(crate) fn add_seeds(&mut self, seeds: &[SocketAddr]) {
-        let fresh = Self::new(self.own, seeds, self.incarnation);
-        for (address, peer) in fresh.known {
-            self.known.entry(address).or_insert(peer);
+        let now = Moment::now();
+        for seed in seeds {
+            let address = SocketAddr::new(seed.ip(), self.own.port());
+            if address != self.own {
+                self.known.entry(address).or_insert(Peer::unheard(now));
+            }
+        }
+    }
+
+    /// Entries of the same data centre that were heard lately.
+    pub(crate) fn neighbours(&self, now: Moment) -> Vec<Neighbour> {
+        let is_near = |(_, peer): &(&SocketAddr, &Peer)| {
+            let is_heard = peer.incarnation.is_some() && now.since(peer.heard_at) <= SILENT_AFTER;
+            is_heard && peer.data_centre == self.data_centre
+        };
+        let near = self.known.iter().filter(is_near);
+        let neighbour = |(address, peer): (&SocketAddr, &Peer)| Neighbour {
+            address: *address,
+            reads_store: peer.reads_store,
+            is_avoided: now < peer.avoided_until,
+        };
+        near.map(neighbour).collect()
+    }
+
+    /// Notes that a peer failed this entry, which followed it.
+    pub(crate) fn avoid_reader(&mut self, reader: SocketAddr, until: Moment) {
+        if let Some(peer) = self.known.get_mut(&reader) {
+            peer.avoided_until = until;
         }
     }
 
@@ -298,6 +338,8 @@
             incarnation: peers.incarnation,
             is_ending: content == Content::Goodbye,
             sequence: peers.sequence,
+            data_centre: peers.data_centre,
+            reads_store: entry.reads_store.get() && !entry.is_leaving(),
             peers: told_peers,
             accounts,
             work,
@@ -381,6 +423,8 @@
         return;
     }
     peer.last_sequence = heartbeat.sequence;
+    peer.data_centre = heartbeat.data_centre;
+    peer.reads_store = heartbeat.reads_store;
     for (number, fingerprint) in heartbeat.crashes {
         if number > peer.last_crash {
             peer.last_crash = number;
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -17,7 +17,12 @@
 }
 
 fn peers(count: u8) -> Peers {
-    Peers::new(SocketAddr::from(([10, 0, 0, 1], 7_500)), &seeds(count), 1)
+    Peers::new(
+        SocketAddr::from(([10, 0, 0, 1], 7_500)),
+        7,
+        &seeds(count),
+        1,
+    )
 }
 
 #[test]
@@ -139,6 +144,8 @@
         incarnation: u64::MAX / 3,
         is_ending: false,
         sequence: 1_000,
+        data_centre: u16::MAX,
+        reads_store: true,
         peers: seeds(peers),
         accounts: quotas.told(1.0, at_ms(0)),
         work: loads.tell_all(),
--- a/crates/camphorwall-direct/src/placing_tests.rs
+++ b/crates/camphorwall-direct/src/placing_tests.rs
@@ -1,74 +1,21 @@
-use std::{cell::Cell, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
-
-use http::Request;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use crate::{
     clock::Moment,
     configuration::Stage,
-    dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect},
     entry::Entry,
     lengths::LengthModel,
     loads::{Expected, service_key},
     placing::{PlaceRequest, Rank, ToldWaiting, give_places},
-    settings::{Bounds, DirectSettings},
-    testing::endpoint,
+    testing::{endpoint, entry_with_silent_platform},
 };
 
 const PEER: ([u8; 4], u16) = ([10, 0, 0, 2], 7_500);
 
-/// A dialect of a platform that says nothing.
-const SILENT: Dialect = Dialect {
-    request_facts: |_| RequestFacts::default(),
-    endpoint_headers: |headers, _| headers.clone(),
-    answer_facts: |_| AnswerFacts::default(),
-    prefilled: |_| None,
-    free_kv: |_| Request::default(),
-    store: StoreDialect {
-        configuration_prefix: "configuration",
-        endpoints_prefix: "endpoints/",
-        list_path: |_, _| String::new(),
-        watch_path: |_, _, _| String::new(),
-        page: |_| {
-            Ok(Page {
-                items: Vec::new(),
-                has_more: false,
-                revision: 0,
-            })
-        },
-        changes: |_| {
-            Ok(Changes {
-                items: Vec::new(),
-                revision: 0,
-            })
-        },
-        configuration: |_, _| None,
-        endpoint: |_, _| Err("no endpoint".into()),
-    },
-};
-
 /// An entry with one peer and one decode endpoint that is empty.
 fn entry() -> Rc<Entry> {
-    let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
-    let settings = DirectSettings {
-        instance: "entry-1".parse().expect("a name"),
-        data_centre: "north".parse().expect("a name"),
-        caller_address: address(1),
-        probe_address: address(2),
-        metrics_address: None,
-        peer_address: address(7_500),
-        seeds: vec![PEER.into()],
-        store_address: address(3),
-        max_open_files: None,
-        memory_mb: None,
-        bounds: Bounds {
-            key_withdrawal_ms: None,
-            shutdown_s: None,
-            retry_share: None,
-            retry_window_s: None,
-            retry_allowance: None,
-        },
-    };
-    let entry = Entry::new(settings, PathBuf::from("/nonexistent"), SILENT, None);
+    let entry = entry_with_silent_platform();
+    entry.peers.borrow_mut().add_seeds(&[PEER.into()]);
     let decode = endpoint("d1", Stage::Decode);
     entry.registry.borrow_mut().register(decode, 1);
     entry
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -89,7 +89,13 @@
 
     /// Notes a call to the store that failed.
     pub(crate) fn note_store_failure(&mut self, now: Moment) {
-        self.store_failed_at = Some(now);
+        self.store_failed_at = self.store_failed_at.max(Some(now));
+    }
+
+    /// Time since the last call to the store that failed.
+    #[must_use]
+    pub(crate) fn store_failed_age(&self, now: Moment) -> Option<Duration> {
+        self.store_failed_at.map(|failed_at| now.since(failed_at))
     }
 
     /// Takes a registration over.
--- a/crates/camphorwall-direct/src/run.rs
+++ b/crates/camphorwall-direct/src/run.rs
@@ -13,8 +13,9 @@
 use crate::{
     dialect::Dialect,
     entry::{EXIT_MARGIN, Entry},
-    follow, peers, placing, request,
+    peers, placing, request,
     settings::DirectSettings,
+    store,
 };
 
 /// Longest idle time of a caller's connection. Callers close earlier.
@@ -81,6 +82,8 @@
         address,
         field: "peer_address",
     })?;
+    // The same port for what is asked and answered.
+    let followers = bind(address, "peer_address").await?;
     let files = settings.max_open_files.unwrap_or(1_024);
     let limits = HttpLimits {
         head_timeout: IDLE_TIMEOUT,
@@ -90,7 +93,7 @@
     let entry = Entry::new(settings, settings_path, dialect, log);
     tracing::info!(event = "started", instance = %entry.settings().instance);
     let background = &entry.tasks;
-    background.spawn(follow::follow(Rc::clone(&entry)));
+    background.spawn(store::follow(Rc::clone(&entry)));
     background.spawn(placing::give_places(Rc::clone(&entry)));
     background.spawn(peers::send_heartbeats(Rc::clone(&entry), socket.clone()));
     background.spawn(peers::receive_heartbeats(Rc::clone(&entry), socket.clone()));
@@ -109,6 +112,15 @@
         request::answer(Rc::clone(&served), request).boxed_local()
     };
     servers.spawn(caller_server.serve(handler, stopped.clone()));
+    let follower_server = HttpServer {
+        listener: followers,
+        limits: HttpLimits::default(),
+    };
+    let told = Rc::clone(&entry);
+    let handler = move |request: Request<Incoming>| {
+        store::answer_follower(Rc::clone(&told), request).boxed_local()
+    };
+    servers.spawn(follower_server.serve(handler, stopped.clone()));
     let probe_server = HttpServer {
         listener: probe_listener,
         limits: HttpLimits::default(),
--- a/crates/camphorwall-direct/src/follow_tests.rs
+++ b/crates/camphorwall-direct/src/store/follow_tests.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use crate::{follow::proved_by, testing::at_ms};
+use crate::{store::follow::proved_by, testing::at_ms};
 
 #[rstest]
 #[case::waited_without_changes(true, 1_510, 2_500)]
--- /dev/null
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -0,0 +1,21 @@
+//! Keeps an entry's beliefs up to date with the configuration store: read by a few entries of each data centre, followed by
+//! the others.
+
+mod follow;
+mod image;
+mod readers;
+mod relay;
+
+#[cfg(test)]
+mod follow_tests;
+#[cfg(test)]
+mod image_tests;
+#[cfg(test)]
+mod readers_tests;
+#[cfg(test)]
+mod relay_tests;
+
+pub(crate) use follow::follow;
+pub(crate) use image::Image;
+pub(crate) use readers::{CentreKey, Neighbour, centre_key};
+pub(crate) use relay::answer_follower;
--- /dev/null
+++ b/crates/camphorwall-direct/src/store/readers_tests.rs
@@ -0,0 +1,93 @@
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
+
+use crate::store::readers::{Neighbour, Source, source};
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, u8::try_from(number).expect("few")], 7_500))
+}
+
+/// What each living entry chooses when all know each other and have told once whether they read the store.
+fn sources(alive: &[usize], avoided: &HashSet<usize>) -> HashMap<usize, Source> {
+    let mut readers: HashSet<usize> = HashSet::new();
+    let mut chosen = HashMap::new();
+    for _ in 0..2 {
+        let seen = |own: usize| {
+            let others = alive.iter().filter(move |other| **other != own);
+            let neighbour = |other: &usize| Neighbour {
+                address: address(*other),
+                reads_store: readers.contains(other),
+                is_avoided: avoided.contains(other),
+            };
+            others.map(neighbour).collect::<Vec<_>>()
+        };
+        let choose = |own: &usize| (*own, source(address(*own), &seen(*own)));
+        chosen = alive.iter().map(choose).collect();
+        let reading = chosen
+            .iter()
+            .filter(|(_, source)| **source == Source::Store);
+        readers = reading.map(|(entry, _)| *entry).collect();
+    }
+    chosen
+}
+
+fn readers(chosen: &HashMap<usize, Source>) -> HashSet<usize> {
+    let reading = chosen
+        .iter()
+        .filter(|(_, source)| **source == Source::Store);
+    reading.map(|(entry, _)| *entry).collect()
+}
+
+#[test]
+fn the_readers_of_a_data_centre_don_t_grow_with_its_entries() {
+    for entries in [3, 21, 70, 200] {
+        let alive: Vec<_> = (1..=entries).collect();
+        let chosen = sources(&alive, &HashSet::new());
+        assert_eq!(readers(&chosen).len(), 2, "{entries} entries");
+    }
+}
+
+#[test]
+fn few_entries_all_read_the_store() {
+    for entries in [1, 2] {
+        let alive: Vec<_> = (1..=entries).collect();
+        assert_eq!(readers(&sources(&alive, &HashSet::new())).len(), entries);
+    }
+}
+
+#[test]
+fn followers_spread_over_the_readers_and_follow_readers_only() {
+    let alive: Vec<_> = (1..=21).collect();
+    let chosen = sources(&alive, &HashSet::new());
+    let readers = readers(&chosen);
+    let mut followers: HashMap<SocketAddr, usize> = HashMap::new();
+    for source in chosen.values() {
+        if let Source::Neighbour(address) = source {
+            *followers.entry(*address).or_default() += 1;
+        }
+    }
+    let read_by: HashSet<_> = readers.iter().map(|reader| address(*reader)).collect();
+    assert!(followers.keys().all(|address| read_by.contains(address)));
+    assert!(followers.values().all(|count| *count >= 4), "{followers:?}");
+}
+
+#[test]
+fn a_reader_that_is_gone_is_replaced_and_the_other_one_stays() {
+    let alive: Vec<_> = (1..=21).collect();
+    let before = readers(&sources(&alive, &HashSet::new()));
+    let gone = *before.iter().min().expect("a reader");
+    let left: Vec<_> = alive.into_iter().filter(|entry| *entry != gone).collect();
+    let after = readers(&sources(&left, &HashSet::new()));
+    assert_eq!(after.len(), 2);
+    assert_eq!(before.intersection(&after).count(), 1);
+}
+
+#[test]
+fn an_entry_whose_readers_all_failed_it_reads_the_store() {
+    let alive: Vec<_> = (1..=21).collect();
+    let readers = readers(&sources(&alive, &HashSet::new()));
+    let chosen = sources(&alive, &readers);
+    assert!(chosen.values().all(|source| *source == Source::Store));
+}
--- /dev/null
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -0,0 +1,76 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use camphorwall::{HttpLimits, HttpServer, StopHandle, stop_pair};
+use compio::net::TcpListener;
+use hyper::{Request, body::Incoming};
+use rstest::rstest;
+
+use crate::{
+    clock::Moment,
+    dialect::StoreItem,
+    entry::Entry,
+    store::{answer_follower, follow::follow_reader},
+    testing::entry_with_silent_platform,
+};
+
+/// A reader whose proof has an age, and its address.
+async fn reader(proof_age: Duration) -> (Rc<Entry>, SocketAddr, StopHandle) {
+    let entry = entry_with_silent_platform();
+    entry.reads_store.set(true);
+    entry.registry.borrow_mut().prove(Moment::now() - proof_age);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = HttpServer {
+        listener,
+        limits: HttpLimits::default(),
+    };
+    let (stop, stopped) = stop_pair();
+    let told = Rc::clone(&entry);
+    let handler = move |request: Request<Incoming>| answer_follower(Rc::clone(&told), request);
+    entry.tasks.spawn(server.serve(handler, stopped));
+    (entry, address, stop)
+}
+
+fn register(entry: &Entry, revision: u64) {
+    let mut image = entry.image.borrow_mut();
+    image.note_registration(&StoreItem {
+        key: "endpoints/e1".into(),
+        value: Some(b"e1".to_vec()),
+        revision,
+    });
+    image.renew(revision);
+}
+
+#[rstest]
+#[case::fresh(0)]
+#[case::as_old_as_a_usual_one(1_500)]
+#[compio::test]
+async fn a_follower_s_proof_is_no_newer_than_its_reader_s(#[case] age_ms: u64) {
+    let (reader, address, _stop) = reader(Duration::from_millis(age_ms)).await;
+    register(&reader, 5);
+    let follower = entry_with_silent_platform();
+    let before = Moment::now();
+    let step = follow_reader(&follower, address, 4).await;
+    let Ok(step) = step else {
+        panic!("the reader answers")
+    };
+    assert_eq!(step.revision, 5);
+    let proof = reader.registry.borrow().proof_age(before).expect("a proof");
+    assert!(step.proved_at <= before - proof);
+}
+
+#[compio::test]
+async fn a_reader_with_an_old_proof_is_not_believed() {
+    let (reader, address, _stop) = reader(Duration::from_secs(4)).await;
+    register(&reader, 5);
+    let follower = entry_with_silent_platform();
+    assert!(follow_reader(&follower, address, 4).await.is_err());
+}
+
+#[compio::test]
+async fn an_entry_that_doesn_t_read_the_store_tells_nothing() {
+    let (reader, address, _stop) = reader(Duration::ZERO).await;
+    reader.reads_store.set(false);
+    let follower = entry_with_silent_platform();
+    assert!(follow_reader(&follower, address, 4).await.is_err());
+}
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -1,13 +1,17 @@
 //! Values that several tests need.
 
-use std::time::Duration;
+use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
 use camphorwall::EndpointId;
+use http::Request;
 
 use crate::{
     clock::Moment,
     configuration::{Endpoint, Stage, Team},
+    dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect},
+    entry::Entry,
     quota::Patience,
+    settings::{Bounds, DirectSettings},
 };
 
 /// A moment, in milliseconds after the clock's origin.
@@ -53,3 +57,58 @@
         stage,
     }
 }
+
+/// A dialect of a platform that says nothing.
+const SILENT: Dialect = Dialect {
+    request_facts: |_| RequestFacts::default(),
+    endpoint_headers: |headers, _| headers.clone(),
+    answer_facts: |_| AnswerFacts::default(),
+    prefilled: |_| None,
+    free_kv: |_| Request::default(),
+    store: StoreDialect {
+        configuration_prefix: "configuration",
+        endpoints_prefix: "endpoints/",
+        list_path: |_, _, _| String::new(),
+        watch_path: |_, _, _| String::new(),
+        page: |_| {
+            Ok(Page {
+                items: Vec::new(),
+                has_more: false,
+                revision: 0,
+            })
+        },
+        changes: |_| {
+            Ok(Changes {
+                items: Vec::new(),
+                revision: 0,
+            })
+        },
+        configuration: |_, _| None,
+        endpoint: |_, _| Err("no endpoint".into()),
+    },
+};
+
+/// An entry on a platform that says nothing.
+pub(crate) fn entry_with_silent_platform() -> Rc<Entry> {
+    let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
+    let settings = DirectSettings {
+        instance: "entry-1".parse().expect("a name"),
+        data_centre: "north".parse().expect("a name"),
+        caller_address: address(1),
+        probe_address: address(2),
+        metrics_address: None,
+        peer_address: address(7_500),
+        seeds: Vec::new(),
+        store_address: address(3),
+        max_open_files: None,
+        memory_mb: None,
+        bounds: Bounds {
+            key_withdrawal_ms: None,
+            shutdown_s: None,
+            retry_share: None,
+            retry_window_s: None,
+            retry_allowance: None,
+        },
+    };
+    Entry::new(settings, PathBuf::from("/nonexistent"), SILENT, None)
+}
