--- a/crates/camphorwall-direct/src/choice.rs
+++ b/crates/camphorwall-direct/src/choice.rs
@@ -51,7 +51,7 @@
         held += running * u64::from(run.left_tokens - elapsed);
         elapsed = run.left_tokens;
         peak = peak.max(held);
-        held -= u64::from(run.held_tokens + run.left_tokens);
+        held -= u64::from(run.held_tokens) + u64::from(run.left_tokens);
         running -= 1;
     }
     peak
--- a/crates/camphorwall-direct/src/choice_tests.rs
+++ b/crates/camphorwall-direct/src/choice_tests.rs
@@ -138,3 +138,13 @@
     assert_eq!(choose_plain(&[far.clone(), near.clone()]), Some(1));
     assert_eq!(choose_decode(&[far, near], run(5, 5), 300, 1.0), Some(1));
 }
+
+#[test]
+fn runs_of_any_size_that_a_stranger_tells_have_a_peak() {
+    let wild = Run {
+        held_tokens: u32::MAX,
+        left_tokens: u32::MAX,
+    };
+    let most = 3 * 2 * u64::from(u32::MAX);
+    assert_eq!(peak_tokens(&[wild, wild], wild), most);
+}
--- a/crates/camphorwall-direct/src/events.rs
+++ b/crates/camphorwall-direct/src/events.rs
@@ -1,9 +1,17 @@
 //! Splits the bytes of an event stream at the ends of its events.
 
 use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
 
-/// What ends an event.
-const END: &[u8] = b"\n\n";
+/// What ends an event: an empty line.
+const ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+
+/// Bytes that the longest of these has before its last one.
+const MAX_BEGUN_END: usize = 2;
+
+/// Most bytes of an event that is not whole yet. Events of tokens have some hundred bytes; a machine with 88 MB may hold
+/// hundreds of streams.
+const MAX_EVENT_BYTES: usize = 64 * 1_024;
 
 /// Field that numbers an event.
 const ID_FIELD: &[u8] = b"id:";
@@ -14,6 +22,13 @@
     held: BytesMut,
 }
 
+/// An event that is larger than any may be.
+#[derive(Debug, Eq, PartialEq, Snafu)]
+#[snafu(display(
+    "an event has no end within {MAX_EVENT_BYTES} B; look at what its endpoint sends"
+))]
+pub(crate) struct EventTooLarge;
+
 /// Whole events.
 #[derive(Debug, Default, Eq, PartialEq)]
 pub(crate) struct Events {
@@ -27,15 +42,24 @@
 
 impl EventSplitter {
     /// Takes bytes and returns the events that are whole now.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Events {
-        let searched = self.held.len().saturating_sub(END.len() - 1);
+    ///
+    /// # Errors
+    /// When what is left of them is larger than an event may be.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Events, EventTooLarge> {
+        let searched = self.held.len().saturating_sub(MAX_BEGUN_END);
         self.held.extend_from_slice(bytes);
-        let Some(end) = last_end(&self.held[searched..]) else {
-            return Events::default();
+        let end = last_end(&self.held[searched..]).map(|end| searched + end);
+        if self.held.len() - end.unwrap_or(0) > MAX_EVENT_BYTES {
+            self.held = BytesMut::new();
+            return Err(EventTooLarge);
+        }
+        let Some(end) = end else {
+            return Ok(Events::default());
         };
-        let whole = self.held.split_to(searched + end).freeze();
+        let whole = self.held.split_to(end).freeze();
         let mut events = Events::default();
         for line in whole.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
             match line.strip_prefix(ID_FIELD) {
                 _ if line.is_empty() => events.count += 1,
                 Some(id) => events.last_id = parse(id).or(events.last_id),
@@ -45,7 +69,7 @@
         // The split after the last line end yields an empty line more than there are events.
         events.count -= 1;
         events.bytes = whole;
-        events
+        Ok(events)
     }
 
     /// Bytes of an event that is not whole.
@@ -55,8 +79,11 @@
 }
 
 fn last_end(bytes: &[u8]) -> Option<usize> {
-    let start = bytes.windows(END.len()).rposition(|window| window == END)?;
-    Some(start + END.len())
+    let last = |end: &[u8]| {
+        let start = bytes.windows(end.len()).rposition(|window| window == end)?;
+        Some(start + end.len())
+    };
+    ENDS.into_iter().filter_map(last).max()
 }
 
 fn parse(id: &[u8]) -> Option<u64> {
--- a/crates/camphorwall-direct/src/events_tests.rs
+++ b/crates/camphorwall-direct/src/events_tests.rs
@@ -17,7 +17,7 @@
     let mut count = 0;
     let mut last_id = None;
     for chunk in STREAM.chunks(size) {
-        let events = splitter.push(chunk);
+        let events = splitter.push(chunk).expect("small events");
         assert!(events.bytes.is_empty() || events.bytes.ends_with(b"\n\n"));
         passed.extend_from_slice(&events.bytes);
         count += events.count;
@@ -31,7 +31,9 @@
 #[test]
 fn a_part_of_an_event_is_held_back() {
     let mut splitter = EventSplitter::default();
-    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    let events = splitter
+        .push(b"id: 1\ndata: a\n\nid: 2\nda")
+        .expect("events");
     assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
     assert_eq!((events.count, events.last_id), (1, Some(1)));
     assert_eq!(&splitter.rest()[..], b"id: 2\nda");
@@ -40,6 +42,32 @@
 #[test]
 fn events_without_a_number_count_too() {
     let mut splitter = EventSplitter::default();
-    let events = splitter.push(b"data: a\n\ndata: b\n\n");
+    let events = splitter.push(b"data: a\n\ndata: b\n\n").expect("events");
     assert_eq!((events.count, events.last_id), (2, None));
 }
+
+#[test]
+fn lines_may_end_with_two_bytes() {
+    let mut splitter = EventSplitter::default();
+    let mut passed = Vec::new();
+    let mut count = 0;
+    let stream = b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+    for byte in stream {
+        let events = splitter.push(&[*byte]).expect("small events");
+        count += events.count;
+        passed.extend_from_slice(&events.bytes);
+    }
+    assert_eq!((&passed[..], count), (&stream[..], 2));
+}
+
+#[test]
+fn an_event_without_end_is_no_event() {
+    let mut splitter = EventSplitter::default();
+    let chunk = [b'x'; 16 * 1_024];
+    let taken = (0..1_000).take_while(|_| splitter.push(&chunk).is_ok());
+    assert!(taken.count() <= 4);
+    assert!(splitter.rest().is_empty());
+    // Many whole events at once are fine.
+    let many = b"data: a\n\n".repeat(100_000);
+    assert_eq!(splitter.push(&many).map(|events| events.count), Ok(100_000));
+}
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/loads.rs
@@ -51,8 +51,8 @@
 
     /// Notes tokens that were generated.
     pub(crate) fn advance(&mut self, tokens: u32) {
-        self.generated_tokens += tokens;
-        self.run.held_tokens += tokens;
+        self.generated_tokens = self.generated_tokens.saturating_add(tokens);
+        self.run.held_tokens = self.run.held_tokens.saturating_add(tokens);
         self.run.left_tokens = self.outlook.left_tokens(self.generated_tokens);
     }
 }
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -139,7 +139,7 @@
     let Some(limits) = admitted.service_facts.engine else {
         return find_plain_place(entry, admitted, progress);
     };
-    let delivered = last_event_id.map_or(0, |id| id * limits.event_tokens);
+    let delivered = last_event_id.map_or(0, |id| id.saturating_mul(limits.event_tokens));
     let expected = expected(entry, admitted, delivered);
     if u64::from(expected.run.held_tokens) > limits.kv_capacity_tokens {
         return Err(Refusal::not_run(RequestEnd::LargerThanAnyEndpoint, NEVER));
@@ -269,12 +269,14 @@
             let read = compio::time::timeout(left, body.next()).await;
             match read {
                 Ok(Ok(Some(bytes))) => {
-                    let events = self.splitter.push(&bytes);
+                    let Ok(events) = self.splitter.push(&bytes) else {
+                        return Some(Err(self.cut_endless()));
+                    };
                     if events.count == 0 {
                         continue;
                     }
-                    place.advance(events.count * self.event_tokens);
-                    self.events += events.count;
+                    place.advance(events.count.saturating_mul(self.event_tokens));
+                    self.events = self.events.saturating_add(events.count);
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
                 }
@@ -295,7 +297,7 @@
     }
 
     fn note_whole(&mut self) {
-        let generated = self.events * self.event_tokens;
+        let generated = self.events.saturating_mul(self.event_tokens);
         if let Some(estimate) = self.admitted.facts.output_estimate_tokens {
             let mut lengths = self.entry.lengths.borrow_mut();
             let service = &self.admitted.service;
@@ -320,6 +322,17 @@
         self.log_end(outcome);
     }
 
+    /// Ends a stream whose endpoint sends no end of an event.
+    fn cut_endless(&mut self) -> io::Error {
+        if let Some((place, _)) = &self.opened {
+            let endpoint = &place.endpoint.id;
+            tracing::info!(event = "event_too_large", request_id = self.admitted.id(), %endpoint);
+            let mut suspicions = self.entry.suspicions.borrow_mut();
+            suspicions.note_failure(endpoint, Moment::now());
+        }
+        self.cut(RequestEnd::BrokeOff)
+    }
+
     fn cut(&mut self, reason: RequestEnd) -> io::Error {
         self.log_end(reason);
         self.opened = None;
