Tell peers what became of requests at endpoints

Each of 25 entries uses an endpoint once in some 25 s and learns of it only by losing requests of its own; the knowledge of each thins out as the fleet grows.

Change: heartbeats carry the answered and failed requests at each endpoint since the last one; peers weigh them like their own. Who can't be reached is still judged by each entry alone: one that is cut off would turn the others against all endpoints.

--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -13,6 +13,7 @@
     poison::Fingerprint,
     quota::ToldAccount,
     store::{CentreKey, Neighbour},
+    suspicion::ToldResults,
 };
 
 /// Shortest time between two whole heartbeats to a peer. How far runs have got is unknown to others for about this long.
@@ -63,6 +64,8 @@
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ToldAccount>,
     pub(crate) work: ToldWork,
+    /// What became of requests at endpoints since the last heartbeat.
+    pub(crate) results: Vec<ToldResults>,
     /// The first requests that wait for decode places.
     pub(crate) waiting: Vec<ToldWaiting>,
     /// Requests during which an endpoint crashed: a number that grows, and the fingerprint.
@@ -343,6 +346,7 @@
             peers: told_peers,
             accounts,
             work,
+            results: entry.suspicions.borrow_mut().tell(),
             waiting: entry.placed.told_waiting(now),
             crashes: peers.crashes(),
         };
@@ -434,6 +438,9 @@
     }
     peers.note_waiting(from, &heartbeat.waiting, now);
     drop(peers);
+    let mut suspicions = entry.suspicions.borrow_mut();
+    suspicions.note_peer(&heartbeat.results, now);
+    drop(suspicions);
     let share = entry.quota_share(now);
     let mut quotas = entry.quotas.borrow_mut();
     quotas.note_peer(heartbeat.incarnation, heartbeat.accounts, share, now);
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -149,6 +149,7 @@
         peers: seeds(peers),
         accounts: quotas.told(1.0, at_ms(0)),
         work: loads.tell_all(),
+        results: Vec::new(),
         waiting: Vec::new(),
         crashes: Vec::new(),
     };
