Prefer decode endpoints that lose no answers while they have room

Cause: an endpoint that loses two answers of five had to be better by a fifth of its memory only, so half-full sound ones were passed over for it. A lost answer costs its caller everything, a fuller engine a few milliseconds.

Change: a failing endpoint must be better by twice its share of failures. Test first: it got the run although a sound one had room.

--- a/crates/camphorwall-direct/src/choice.rs
+++ b/crates/camphorwall-direct/src/choice.rs
@@ -26,8 +26,9 @@
 /// What a far plain endpoint must be better by, as a share of its slots.
 const FAR_LOAD: f64 = 0.1;
 
-/// What a decode endpoint that fails every request must be better by, as a share of its capacity.
-const DECODE_FAILURE_WEIGHT: f64 = 0.5;
+/// What a decode endpoint that fails every request must be better by, as a share of its capacity. A lost answer costs its
+/// caller everything, a fuller engine a few milliseconds.
+const DECODE_FAILURE_WEIGHT: f64 = 2.0;
 
 /// Tokens that a prefill endpoint which fails every request seems to have before it.
 const PREFILL_FAILURE_TOKENS: f64 = 40_000.0;
--- a/crates/camphorwall-direct/src/choice_tests.rs
+++ b/crates/camphorwall-direct/src/choice_tests.rs
@@ -148,3 +148,20 @@
     let most = 3 * 2 * u64::from(u32::MAX);
     assert_eq!(peak_tokens(&[wild, wild], wild), most);
 }
+
+#[test]
+fn a_decode_endpoint_that_loses_answers_gets_what_the_others_have_no_room_for() {
+    let failing = Candidate {
+        failure_share: 0.4,
+        ..candidate(&[])
+    };
+    let next = run(100, 50);
+    // The sound one is half full, then full.
+    let busy = candidate(&[run(400, 100)]);
+    assert_eq!(
+        choose_decode(&[failing.clone(), busy], next, 1_000, 0.95),
+        Some(1)
+    );
+    let full = candidate(&[run(800, 100)]);
+    assert_eq!(choose_decode(&[failing, full], next, 1_000, 0.95), Some(0));
+}
