--- a/crates/camphorwall-direct/src/suspicion_tests.rs
+++ b/crates/camphorwall-direct/src/suspicion_tests.rs
@@ -92,7 +92,7 @@
         };
         let chosen = choose_decode(&candidates, run, 47_582, 0.95).expect("room");
         let endpoint = order[chosen];
-        let is_lost = endpoint % 2 == 0 && random.random::<f64>() < 0.4;
+        let is_lost = endpoint.is_multiple_of(2) && random.random::<f64>() < 0.4;
         if is_lost {
             fleet[entry].note_failure(&ids[endpoint], now);
         } else {
