--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -152,7 +152,7 @@
     if !has_endpoints {
         return Err(progress.give_up(RequestEnd::NoEndpoint, SOON_FREE));
     }
-    let turns = turns(admitted, last_event_id.is_some(), Moment::now());
+    let waits = waits(admitted, last_event_id.is_some(), Moment::now());
     let request = |is_late| PlaceRequest {
         service: admitted.service.clone(),
         capacity_tokens: limits.kv_capacity_tokens,
@@ -163,7 +163,7 @@
     };
     let since = Moment::now();
     let mut placed = None;
-    for (is_late, until) in turns {
+    for (is_late, until) in waits {
         let left = until.since(Moment::now());
         if placed.is_none() && !left.is_zero() {
             let placing = entry.placed.place(request(is_late));
@@ -178,7 +178,7 @@
 ///
 /// A stream that broke goes on ahead of all that came after it: only then is its pause short, and its caller waits for the
 /// next event as long as it did for the first.
-fn turns(admitted: &Admitted, is_broken: bool, now: Moment) -> [(bool, Moment); 2] {
+fn waits(admitted: &Admitted, is_broken: bool, now: Moment) -> [(bool, Moment); 2] {
     if is_broken {
         let until = now + admitted.route.start_within(admitted.facts.deadline);
         return [(false, until), (true, until)];
