Don't charge the retry budget for prefill calls that reached no endpoint

Cause: when engines crash, their prefill calls are refused at the connection. Change: a prefill call that was not sent gives its retry back, and doesn't count as the request's first prefill. Test: half of thirty prefill engines gone, an entry without any retries; failed before with `retry_budget`.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -295,6 +295,11 @@
         is_taken
     }
 
+    /// Returns a retry that reached no endpoint.
+    pub(crate) fn return_retry(&self, service: &ServiceId) {
+        self.retries.borrow_mut().give_back(service);
+    }
+
     /// Share of each team's rate that this entry may spend.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -89,20 +89,21 @@
             left_tokens: 0,
         };
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(run));
-        if progress.prefills > 0 && !entry.take_retry(&admitted.service) {
+        let is_retry = progress.prefills > 0;
+        if is_retry && !entry.take_retry(&admitted.service) {
             return Err(progress.give_up(RequestEnd::RetryBudget, CAPACITY_RETRY_AFTER));
         }
-        progress.prefills += 1;
         let request = admitted.endpoint_request(entry, &endpoint, Stage::Prefill, None, None);
         let requesting = request_prefill(entry, admitted, &endpoint, request);
         let since = Moment::now();
-        let handle = compio::time::timeout(PREFILL_TIMEOUT, requesting).await;
+        progress.prefills += 1;
+        let result = compio::time::timeout(PREFILL_TIMEOUT, requesting).await;
         RequestLog::add_elapsed(&admitted.request_log.prefill, since);
         let id = endpoint.id.clone();
         admitted.request_log.prefill_endpoint.replace(Some(id));
         drop(placement);
-        match handle {
-            Ok(Some(handle)) => {
+        match result {
+            Ok(PrefillOutcome::Finished(handle)) => {
                 return Ok(Some(Prefilled {
                     endpoint,
                     handle,
@@ -110,7 +111,10 @@
                     refusals: 0,
                 }));
             }
-            Ok(None) => {}
+            Ok(PrefillOutcome::Failed) => {}
+            // Only calls that reach an endpoint count as retries.
+            Ok(PrefillOutcome::NotSent) if is_retry => entry.return_retry(&admitted.service),
+            Ok(PrefillOutcome::NotSent) => progress.prefills = 0,
             Err(_) => {
                 let now = Moment::now();
                 let mut suspicions = entry.suspicions.borrow_mut();
@@ -121,19 +125,31 @@
     }
 }
 
+/// Result of one prefill call.
+enum PrefillOutcome {
+    Finished(KvHandle),
+    /// The endpoint refused the call, or its answer was lost.
+    Failed,
+    /// The call never reached the endpoint.
+    NotSent,
+}
+
 async fn request_prefill(
     entry: &Rc<Entry>,
     admitted: &Admitted,
     endpoint: &Endpoint,
     request: http::Request<Bytes>,
-) -> Option<KvHandle> {
+) -> PrefillOutcome {
     let sent = upstream::send(endpoint.address, request).await;
     let mut answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
             tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-            entry.note_send_error(endpoint, admitted.fingerprint, &error);
-            return None;
+            return if entry.note_send_error(endpoint, admitted.fingerprint, &error) {
+                PrefillOutcome::Failed
+            } else {
+                PrefillOutcome::NotSent
+            };
         }
     };
     let body = answer.body.collect(MAX_PREFILL_BYTES).await;
@@ -145,7 +161,7 @@
                 .suspicions
                 .borrow_mut()
                 .note_success(&endpoint.id, now);
-            Some(handle)
+            PrefillOutcome::Finished(handle)
         }
         _ => {
             tracing::info!(
@@ -154,7 +170,7 @@
                 endpoint = %endpoint.id,
                 status = answer.parts.status.as_u16(),
             );
-            None
+            PrefillOutcome::Failed
         }
     }
 }
--- a/crates/camphorwall-direct/src/retries.rs
+++ b/crates/camphorwall-direct/src/retries.rs
@@ -79,4 +79,11 @@
         }
         is_left
     }
+
+    /// Gives back the last retry taken, which reached no endpoint.
+    pub(crate) fn give_back(&mut self, service: &ServiceId) {
+        if let Some(counts) = self.services.get_mut(service) {
+            counts.retries.pop_back();
+        }
+    }
 }
