Tell peers which endpoints take no connections or were replaced

Cause: each entry found out by itself that an endpoint was gone. Change: heartbeats say which endpoints accepted no connection; a peer skips those for 0.4 s, unless one has answered it within half a second (then the way from the teller fails). A 421 to a prefill counts like one to a run. Slow endpoints are not told.

--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -93,6 +93,13 @@
     Failed,
 }
 
+/// Records that another endpoint listens at an endpoint's address: the store has not reported yet that the intended one
+/// has left.
+pub(crate) fn note_replaced(entry: &Entry, endpoint: &Endpoint) {
+    let mut suspicions = entry.suspicions.borrow_mut();
+    suspicions.note_unreachable(&endpoint.id, Moment::now());
+}
+
 /// Connects to an endpoint, sends it a request and classifies the head of the answer.
 pub(crate) async fn attempt(
     entry: &Rc<Entry>,
@@ -147,11 +154,7 @@
     if facts.has_not_run && is_for_request {
         let is_other_endpoint = answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_other_endpoint {
-            // Another endpoint listens at this address; the store has not reported yet that the intended one has left.
-            entry
-                .suspicions
-                .borrow_mut()
-                .note_unreachable(&endpoint.id, now);
+            note_replaced(entry, endpoint);
         }
         tracing::debug!(
             event = "endpoint_refused",
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use camphorwall::RequestEnd;
+use http::StatusCode;
 
 use crate::{
     choice::choose_prefill,
@@ -12,7 +13,7 @@
     dialect::KvHandle,
     entry::Entry,
     loads::{Run, Work},
-    outcome::Progress,
+    outcome::{Progress, note_replaced},
     placement::{Placement, candidates},
     refusal::Refusal,
     request::Admitted,
@@ -170,6 +171,9 @@
                 endpoint = %endpoint.id,
                 status = answer.parts.status.as_u16(),
             );
+            if answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
+                note_replaced(entry, endpoint);
+            }
             PrefillOutcome::Failed
         }
     }
--- a/crates/camphorwall-direct/src/suspicion.rs
+++ b/crates/camphorwall-direct/src/suspicion.rs
@@ -17,6 +17,10 @@
 /// Longest time for which an endpoint is skipped.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Time after an answer from an endpoint in which a peer's report that it is unreachable is ignored: the way from that
+/// peer is what fails.
+const REACHABLE_AFTER_ANSWER: Duration = Duration::from_millis(500);
+
 /// Share of its requests that a sound endpoint loses.
 const SOUND_LOSS: f64 = 0.01;
 
@@ -47,6 +51,7 @@
 struct Record {
     unreachable_count: u32,
     skipped_until: Moment,
+    answered_at: Option<Moment>,
     /// Logarithm of the odds that the endpoint is losing, at `updated_at`.
     log_odds: f64,
     /// Share of failed requests, weighted towards the newest.
@@ -59,6 +64,7 @@
         Self {
             unreachable_count: 0,
             skipped_until: now,
+            answered_at: None,
             log_odds: INITIAL_LOG_ODDS,
             loss: 0.0,
             updated_at: now,
@@ -102,6 +108,8 @@
     endpoint: u64,
     answered: u16,
     failed: u16,
+    /// Whether the endpoint accepted no connection.
+    is_unreachable: bool,
 }
 
 /// Failure records of endpoints, by [`endpoint_key`].
@@ -147,19 +155,29 @@
         for results in reports {
             let is_known = self.records.contains_key(&results.endpoint);
             // An endpoint without failures that this entry has not used needs no record.
-            let has_failed = results.failed > 0;
+            let has_failed = results.failed > 0 || results.is_unreachable;
             let is_new = has_failed && self.records.len() < MAX_REPORTED_RECORDS;
             if !is_known && !is_new {
                 continue;
             }
             let record = self.record(results.endpoint, now);
             record.note(results.answered, results.failed, now);
+            let answered_at = record.answered_at;
+            let has_just_answered =
+                answered_at.is_some_and(|at| now.since(at) < REACHABLE_AFTER_ANSWER);
+            if results.answered > 0 {
+                record.unreachable_count = 0;
+                record.skipped_until = now;
+            } else if results.is_unreachable && !has_just_answered {
+                record.skipped_until = record.skipped_until.max(now + INITIAL_BACKOFF);
+            }
         }
     }
 
-    /// Records that the endpoint accepted no connection.
+    /// Records that the endpoint accepted no connection, and reports it to the peers.
     pub(crate) fn note_unreachable(&mut self, endpoint: &EndpointId, now: Moment) {
         self.note_unresponsive(endpoint, now);
+        self.unreported(endpoint_key(endpoint)).is_unreachable = true;
     }
 
     /// Records that the endpoint did not respond in time. Whether it is slow for others too is theirs to find out.
@@ -187,6 +205,7 @@
         record.note(1, 0, now);
         record.unreachable_count = 0;
         record.skipped_until = now;
+        record.answered_at = Some(now);
     }
 
     /// Whether the endpoint is skipped at present.
--- a/crates/camphorwall-direct/src/suspicion_tests.rs
+++ b/crates/camphorwall-direct/src/suspicion_tests.rs
@@ -154,3 +154,57 @@
     assert!(suspicions.expected_loss(&failing, at_ms(30_000)) > 0.1);
     assert_eq!(suspicions.record_count(), 1);
 }
+
+/// A quarter of 46 endpoints goes dark, and 25 entries send fifty requests a second. Each request that meets a dark
+/// endpoint waits for a connect timeout.
+#[test]
+fn a_fleet_notices_a_dark_endpoint_once() {
+    const ENTRIES: usize = 25;
+    let ids: Vec<_> = (0..46)
+        .map(|number| endpoint_id(&format!("e{number}")))
+        .collect();
+    let is_dark = |endpoint: usize| endpoint.is_multiple_of(4);
+    let met = [false, true].map(|sends_reports| {
+        let mut random = ChaCha8Rng::seed_from_u64(5);
+        let mut fleet: Vec<Suspicions> = (0..ENTRIES).map(|_| Suspicions::default()).collect();
+        let mut met = 0;
+        for now_ms in (0..4_000_u64).step_by(20) {
+            let now = at_ms(now_ms);
+            let entry = random.random_range(0..ENTRIES);
+            let reachable: Vec<_> = (0..ids.len())
+                .filter(|endpoint| !fleet[entry].is_unreachable(&ids[*endpoint], now))
+                .collect();
+            let endpoint = reachable[random.random_range(0..reachable.len())];
+            if is_dark(endpoint) {
+                met += 1;
+                fleet[entry].note_unreachable(&ids[endpoint], now);
+            } else {
+                fleet[entry].note_success(&ids[endpoint], now);
+            }
+            let report = fleet[entry].report();
+            for (peer, suspicions) in fleet.iter_mut().enumerate() {
+                if sends_reports && peer != entry {
+                    suspicions.note_peer(&report, now);
+                }
+            }
+        }
+        met
+    });
+    println!("requests that met a dark endpoint, without reports and with: {met:?}");
+    assert!(met[1] * 3 < met[0] * 2, "{met:?}");
+}
+
+/// An entry that is cut off from the endpoints reports all of them as unreachable.
+#[test]
+fn a_report_on_an_endpoint_that_has_just_answered_is_ignored() {
+    let (mut cut_off, mut connected) = (Suspicions::default(), Suspicions::default());
+    let (answering, unused) = (endpoint_id("answering"), endpoint_id("unused"));
+    connected.note_success(&answering, at_ms(0));
+    for id in [&answering, &unused] {
+        cut_off.note_unreachable(id, at_ms(100));
+    }
+    connected.note_peer(&cut_off.report(), at_ms(100));
+    assert!(!connected.is_unreachable(&answering, at_ms(100)));
+    assert!(connected.is_unreachable(&unused, at_ms(100)));
+    assert!(!connected.is_unreachable(&unused, at_ms(500)));
+}
