Place a request whose KV cache is ready before all others

Cause: a decode engine that refused a request after its prefill sent it back into the queue, behind all that had arrived before it and soon behind all that could still be in time. A cache that had expired in the queue was offered all the same, and its refusal counted against the prefill engine. Change: while its KV cache lives, a request goes before all that need a prefill, here and at the peers, which are told. After that the cache is freed and the request waits by its arrival as before. Test: a full engine gets room for one of two requests, and the newer one with a KV cache gets it.

--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -210,6 +210,7 @@
     ) {
         let rank = |reported: &ReportedWaiter| {
             let rank = QueueRank {
+                needs_prefill: reported.needs_prefill,
                 is_late: reported.is_late,
                 priority: reported.priority,
                 since: now - Duration::from_millis(reported.waited_ms.into()),
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -99,6 +99,7 @@
     let now = Moment::now();
     let waiting = |service, is_late, priority, waited_ms| ReportedWaiter {
         service,
+        needs_prefill: true,
         is_late,
         priority,
         waited_ms,
@@ -112,6 +113,7 @@
     ];
     peers.note_waiting(SocketAddr::from(([10, 0, 0, 2], 7_500)), &reported, now);
     let rank = |is_late, priority, waited_ms| QueueRank {
+        needs_prefill: true,
         is_late,
         priority,
         since: now - Duration::from_millis(waited_ms),
@@ -124,6 +126,15 @@
     );
     assert_eq!(ahead(rank(false, 0, 50)), 0, "as urgent, and older");
     assert_eq!(ahead(rank(true, 1, 900)), 4, "late requests come last");
+    let with_kv_cache = QueueRank {
+        needs_prefill: false,
+        ..rank(true, 9, 0)
+    };
+    assert_eq!(
+        ahead(with_kv_cache),
+        0,
+        "a request with a KV cache goes first"
+    );
     let later = now + Duration::from_secs(1);
     assert_eq!(
         peers.ahead_of(1, rank(true, 1, 900), later),
--- a/crates/camphorwall-direct/src/placement.rs
+++ b/crates/camphorwall-direct/src/placement.rs
@@ -38,6 +38,9 @@
 /// Rank of a waiting request in the queue; the lowest is placed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct QueueRank {
+    /// Whether the prompt is still to be prefilled. A request whose KV cache is ready goes first: the cache expires within
+    /// a fraction of a second, and the prefill would be wasted.
+    pub(crate) needs_prefill: bool,
     /// Whether the answer can't be in time any more.
     pub(crate) is_late: bool,
     pub(crate) priority: u32,
@@ -65,6 +68,7 @@
 pub(crate) struct ReportedWaiter {
     /// Hash of the service's name, see [`service_key`].
     pub(crate) service: u64,
+    pub(crate) needs_prefill: bool,
     pub(crate) is_late: bool,
     pub(crate) priority: u32,
     pub(crate) waited_ms: u32,
@@ -170,6 +174,7 @@
             let waited_ms = now.since(rank.since).as_millis();
             ReportedWaiter {
                 service: service_key(service),
+                needs_prefill: rank.needs_prefill,
                 is_late: rank.is_late,
                 priority: rank.priority,
                 waited_ms: u32::try_from(waited_ms).unwrap_or(u32::MAX),
--- a/crates/camphorwall-direct/src/placement_tests.rs
+++ b/crates/camphorwall-direct/src/placement_tests.rs
@@ -5,8 +5,8 @@
     configuration::Stage,
     entry::Entry,
     lengths::LengthModel,
-    loads::{ForecastRun, service_key},
-    placement::{PlacementRequest, QueueRank, ReportedWaiter, run_placement_queue},
+    loads::{ForecastRun, Run, Work, service_key},
+    placement::{Placement, PlacementRequest, QueueRank, ReportedWaiter, run_placement_queue},
     testing::{endpoint, entry_with_empty_dialect},
 };
 
@@ -29,6 +29,7 @@
         capacity_tokens: 50_000,
         forecast: ForecastRun::new(1_000, 0, forecast),
         rank: QueueRank {
+            needs_prefill: true,
             is_late: false,
             priority: 1,
             since,
@@ -44,6 +45,7 @@
     let now = Moment::now();
     let waiting = ReportedWaiter {
         service: service_key(&"drafts".parse().expect("a name")),
+        needs_prefill: true,
         is_late: false,
         priority: 1,
         waited_ms: 600,
@@ -70,3 +72,44 @@
     // With eight ahead the request has no scheduling round; it is placed once the peer counts as silent.
     time_to_placement(8).await;
 }
+
+/// Engines are full, and one of them refused a request after its prefill. The KV cache lives for half a second, less than
+/// the request would wait behind all that arrived before it.
+#[compio::test]
+async fn a_request_whose_kv_cache_is_ready_goes_before_older_ones() {
+    let entry = entry();
+    let service = "drafts".parse().expect("a name");
+    let endpoint = {
+        let registry = entry.registry.borrow();
+        let mut endpoints = registry.endpoints(&service, Stage::Decode, Moment::now());
+        Rc::clone(endpoints.next().expect("an endpoint"))
+    };
+    let filling = Work::Fixed(Run {
+        held_tokens: 50_000,
+        left_tokens: 0,
+    });
+    let running = Placement::new(&entry, Rc::clone(&endpoint), filling);
+    entry.tasks.spawn(run_placement_queue(Rc::clone(&entry)));
+    let now = Moment::now();
+    let mut with_cache = placement_request(now);
+    with_cache.rank.needs_prefill = false;
+    let mut older = placement_request(now - Duration::from_millis(600));
+    // There is room for one of the two.
+    older.forecast.run.held_tokens = 45_000;
+    with_cache.forecast.run.held_tokens = 45_000;
+    let older = entry.placement_queue.place(older);
+    let with_cache = entry.placement_queue.place(with_cache);
+    let ending = async {
+        compio::time::sleep(Duration::from_millis(50)).await;
+        drop(running);
+    };
+    let limit = Duration::from_millis(300);
+    let (older, with_cache, ()) = futures_util::join!(
+        compio::time::timeout(limit, older),
+        compio::time::timeout(limit, with_cache),
+        ending,
+    );
+    assert!(with_cache.is_ok_and(|placement| placement.is_some()));
+    assert!(older.is_err());
+    entry.tasks.abort();
+}
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -44,12 +44,17 @@
 }
 
 impl Prefilled {
+    /// Last moment at which the cache is offered to a decode endpoint.
+    pub(crate) fn offer_until(&self) -> Moment {
+        self.finished_at + MAX_OFFER_AGE
+    }
+
     /// Records that a decode endpoint refused the request, and returns the cache if it can be offered to another one. A
     /// refusal doesn't state whether the endpoint was full or the cache had expired.
     pub(crate) fn retain_after_refusal(mut self, entry: &Rc<Entry>) -> Option<Self> {
         self.refusals += 1;
         let now = Moment::now();
-        if self.refusals < MAX_OFFERS && now.since(self.finished_at) < MAX_OFFER_AGE {
+        if self.refusals < MAX_OFFERS && now < self.offer_until() {
             return Some(self);
         }
         if self.refusals >= MAX_OFFERS {
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -78,6 +78,7 @@
             self.arrived_at
         };
         QueueRank {
+            needs_prefill: true,
             is_late,
             priority: self.priority(),
             since,
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -17,7 +17,7 @@
     events::EventSplitter,
     loads::{ForecastRun, Run, Work},
     outcome::{AttemptOutcome, Progress, attempt_on},
-    placement::{Placement, PlacementRequest, candidates},
+    placement::{Placement, PlacementRequest, QueueRank, candidates},
     prefill::{Prefilled, free_kv_cache, prefill},
     refusal::Refusal,
     request::Admitted,
@@ -85,6 +85,7 @@
     admitted: &Admitted,
     progress: &mut Progress,
     last_event_id: Option<u64>,
+    cache_until: Option<Moment>,
     mut placement: Placement,
 ) -> Result<ConnectedPlacement, Refusal> {
     loop {
@@ -102,7 +103,7 @@
         entry.note_send_error(endpoint, admitted.fingerprint, &error);
         progress.excluded.push(endpoint.id.clone());
         drop(placement);
-        placement = find_placement(entry, admitted, progress, last_event_id).await?;
+        placement = find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
     }
 }
 
@@ -121,7 +122,7 @@
     let mut connect_progress = progress.clone();
     let (prefilled, connected) = futures_util::join!(
         prefill(entry, admitted, progress, &decode),
-        connect(entry, admitted, &mut connect_progress, last_event_id, placement),
+        connect(entry, admitted, &mut connect_progress, last_event_id, None, placement),
     );
     progress.excluded = connect_progress.excluded;
     let prefilled = prefilled?;
@@ -143,14 +144,19 @@
 ) -> Result<OpenStream, Refusal> {
     let mut prefilled: Option<Prefilled> = None;
     loop {
-        let placement = find_placement(entry, admitted, progress, last_event_id).await?;
+        let cache_until = prefilled.as_ref().map(Prefilled::offer_until);
+        let placement =
+            find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
+        if cache_until.is_some_and(|until| until < Moment::now()) {
+            free_kv_cache(entry, prefilled.take());
+        }
         let mut connected = if prefilled.is_none() && admitted.service_facts.engine.is_some() {
             let (finished, connected) =
                 prefill_and_connect(entry, admitted, progress, last_event_id, placement).await?;
             prefilled = finished;
             connected
         } else {
-            connect(entry, admitted, progress, last_event_id, placement).await?
+            connect(entry, admitted, progress, last_event_id, cache_until, placement).await?
         };
         let takes_work = {
             let registry = entry.registry.borrow();
@@ -162,8 +168,12 @@
                 .excluded
                 .push(connected.placement.endpoint.id.clone());
             drop(connected);
-            let placement = find_placement(entry, admitted, progress, last_event_id).await?;
-            connected = connect(entry, admitted, progress, last_event_id, placement).await?;
+            let cache_until = prefilled.as_ref().map(Prefilled::offer_until);
+            let placement =
+                find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
+            let connecting =
+                connect(entry, admitted, progress, last_event_id, cache_until, placement);
+            connected = connecting.await?;
         }
         let ConnectedPlacement {
             placement,
@@ -217,6 +227,7 @@
     admitted: &Admitted,
     progress: &Progress,
     last_event_id: Option<u64>,
+    cache_until: Option<Moment>,
 ) -> Result<Placement, Refusal> {
     let Some(limits) = admitted.service_facts.engine else {
         return find_plain_placement(entry, admitted, progress);
@@ -237,21 +248,26 @@
     if !has_endpoints {
         return Err(progress.give_up(RequestEnd::NoEndpoint, CAPACITY_RETRY_AFTER));
     }
-    let wait_phases = wait_phases(admitted, last_event_id.is_some(), Moment::now());
-    let request = |is_late| PlacementRequest {
+    let wait_phases = wait_phases(
+        admitted,
+        last_event_id.is_some(),
+        cache_until,
+        Moment::now(),
+    );
+    let request = |rank| PlacementRequest {
         service: admitted.service.clone(),
         capacity_tokens: limits.kv_capacity_tokens,
         forecast: expected,
-        rank: admitted.rank(is_late),
+        rank,
         excluded: progress.excluded.clone(),
         is_reported: Cell::new(false),
     };
     let since = Moment::now();
     let mut placement = None;
-    for (is_late, until) in wait_phases {
+    for (rank, until) in wait_phases {
         let left = until.since(Moment::now());
         if placement.is_none() && !left.is_zero() {
-            let waiting = entry.placement_queue.place(request(is_late));
+            let waiting = entry.placement_queue.place(request(rank));
             placement = compio::time::timeout(left, waiting).await.ok().flatten();
         }
     }
@@ -259,21 +275,36 @@
     placement.ok_or_else(|| progress.give_up(RequestEnd::NoPlaceInTime, CAPACITY_RETRY_AFTER))
 }
 
-/// The phases in which a request waits: whether it ranks as late, and the end of the phase.
+/// The phases in which a request waits: its rank and the end of the phase.
 ///
-/// A stream that is resumed keeps its arrival time and waits among the on-time requests throughout, ahead of all that
-/// arrived after it. This keeps its pause short; its caller waits for the next event as long as it did for the first.
-fn wait_phases(admitted: &Admitted, is_resumption: bool, now: Moment) -> [(bool, Moment); 2] {
+/// A request whose KV cache is ready goes first while the cache lives. A stream that is resumed keeps its arrival time
+/// and waits among the on-time requests throughout, ahead of all that arrived after it. This keeps its pause short; its
+/// caller waits for the next event as long as it did for the first.
+fn wait_phases(
+    admitted: &Admitted,
+    is_resumption: bool,
+    cache_until: Option<Moment>,
+    now: Moment,
+) -> Vec<(QueueRank, Moment)> {
+    let mut phases = Vec::new();
+    let on_time = admitted.rank(false);
+    if let Some(until) = cache_until {
+        let rank = QueueRank {
+            needs_prefill: false,
+            ..on_time
+        };
+        phases.push((rank, until));
+    }
     if is_resumption {
         let until = now + admitted.route.start_within(admitted.facts.deadline);
-        return [(false, until), (true, until)];
+        phases.push((on_time, until));
+    } else {
+        let target = Duration::from_millis(admitted.route.target_ms);
+        let on_time_wait = target.saturating_sub(PREFILL_AND_TRANSFER_TIME);
+        phases.push((on_time, admitted.arrived_at + on_time_wait));
+        phases.push((admitted.rank(true), admitted.start_by));
     }
-    let target = Duration::from_millis(admitted.route.target_ms);
-    let on_time = target.saturating_sub(PREFILL_AND_TRANSFER_TIME);
-    [
-        (false, admitted.arrived_at + on_time),
-        (true, admitted.start_by),
-    ]
+    phases
 }
 
 /// Chooses an endpoint of a service without engines, whose streams need no KV cache.
