Leave an endpoint that has fallen silent in the middle of a stream

Cause: a stream was read until its caller's deadline. Change: a stream that may continue elsewhere is left after a pause of 16 times its usual one, at least 1.5 s, and early enough that the caller is still there when it goes on; the same holds before the first event. It needs a retry; without one the stream waits on.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -286,6 +286,12 @@
         }
     }
 
+    /// Usual pause between the events of a stream.
+    pub(crate) fn usual_pause(&self, event_tokens: u32) -> Option<Duration> {
+        let time_per_token = self.time_per_token.get();
+        time_per_token.map(|time| time * event_tokens)
+    }
+
     /// Takes one retry from this entry's part of the fleet's retry budget; returns whether there was one.
     pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
         let entries = self.peers.borrow().count();
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod run;
 mod settings;
 mod signals;
+mod stall;
 mod store;
 mod stream;
 mod suspicion;
@@ -65,6 +66,8 @@
 #[cfg(test)]
 mod retries_tests;
 #[cfg(test)]
+mod stall_tests;
+#[cfg(test)]
 mod suspicion_tests;
 #[cfg(test)]
 mod testing;
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -19,6 +19,7 @@
     poison::Fingerprint,
     refusal::Refusal,
     request_log::RequestLog,
+    stall::Pauses,
     stream,
 };
 
@@ -69,6 +70,14 @@
         team_priority.unwrap_or(self.route.priority)
     }
 
+    /// Moment from which a stream with these pauses counts as stalled. Continuing it elsewhere takes up to the target, and
+    /// must end before the caller leaves.
+    pub(crate) fn stalled_at(&self, pauses: &Pauses) -> Moment {
+        let wait_limit = Duration::from_millis(self.route.wait_limit_ms);
+        let target = Duration::from_millis(self.route.target_ms);
+        pauses.stalled_at(wait_limit, target.min(wait_limit / 2))
+    }
+
     /// Order in which the request gets a placement. Late requests are ordered by their deadlines, so that a caller that
     /// retries after a refusal goes before those that arrived later.
     pub(crate) fn rank(&self, is_late: bool) -> QueueRank {
--- /dev/null
+++ b/crates/camphorwall-direct/src/stall_tests.rs
@@ -0,0 +1,45 @@
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::{stall::Pauses, testing::at_ms};
+
+/// Time for which a caller waits for the next event.
+const WAIT_LIMIT: Duration = Duration::from_millis(3_600);
+const REOPEN_TIME: Duration = Duration::from_millis(900);
+
+/// Whether a stream counts as stalled before its endpoint sends the last of some events, and when it does after it.
+fn stall(event_times_ms: &[u64]) -> (bool, Duration) {
+    let mut pauses = Pauses::new(Some(Duration::from_millis(50)), at_ms(0));
+    let mut is_cut = false;
+    let mut last = at_ms(0);
+    for time_ms in event_times_ms {
+        last = at_ms(*time_ms);
+        is_cut |= pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME) < last;
+        pauses.note_events(1, last);
+    }
+    (is_cut, pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME).since(last))
+}
+
+/// An endpoint turns 4 to 20 times slower in the middle of a stream, or sends an event only every second.
+#[rstest]
+#[case(200)]
+#[case(400)]
+#[case(1_000)]
+fn a_slow_stream_that_still_moves_is_not_cut(#[case] pause_ms: u64) {
+    let usual = (1..=5).map(|event| event * 50);
+    let slow = (1..=10).map(|event| 250 + event * pause_ms);
+    let times: Vec<u64> = usual.chain(slow).collect();
+    assert!(!stall(&times).0);
+}
+
+/// An endpoint goes dark after some events; the caller leaves after 3.6 s.
+#[rstest]
+#[case(&[])]
+#[case(&[50, 100, 150])]
+#[case(&[1_000, 2_000, 3_000])]
+fn a_silent_endpoint_is_left_before_its_caller_leaves(#[case] event_times_ms: &[u64]) {
+    let (is_cut, after) = stall(event_times_ms);
+    assert!(!is_cut);
+    assert!(after <= WAIT_LIMIT - REOPEN_TIME, "{after:?}");
+}
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -1,6 +1,6 @@
 //! Serves a streamed request of a model: waits for a decode placement, runs the prefill, then relays the stream.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use camphorwall::{BoxedBody, RequestEnd, stream_body};
@@ -11,7 +11,7 @@
 use crate::{
     choice::choose_plain,
     clock::Moment,
-    configuration::Stage,
+    configuration::{Endpoint, Stage},
     connection_headers::remove_connection_headers,
     entry::Entry,
     events::EventSplitter,
@@ -22,6 +22,7 @@
     refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
+    stall::Pauses,
     upstream::{Answer, AnswerBody, Connection},
 };
 
@@ -185,7 +186,12 @@
         let request =
             admitted.endpoint_request(entry, &placement.endpoint, stage, source, last_event_id);
         progress.begin(admitted, &placement.endpoint.id);
-        let outcome = attempt_on(connection, entry, admitted, &placement.endpoint, request).await;
+        let attempting = attempt_on(connection, entry, admitted, &placement.endpoint, request);
+        let outcome = if progress.may_retry(admitted) {
+            abandon_if_stalled(entry, admitted, &placement.endpoint, attempting).await
+        } else {
+            attempting.await
+        };
         match outcome {
             AttemptOutcome::Answered(Answer { parts, body }) => {
                 admitted.request_log.note_response_head();
@@ -217,6 +223,25 @@
     }
 }
 
+/// Waits for the head of an answer that another endpoint can give as well, and abandons an attempt whose endpoint is
+/// silent for so long that its caller would soon leave.
+async fn abandon_if_stalled(
+    entry: &Entry,
+    admitted: &Admitted,
+    endpoint: &Endpoint,
+    attempting: impl Future<Output = AttemptOutcome>,
+) -> AttemptOutcome {
+    let now = Moment::now();
+    let stalled_at = admitted.stalled_at(&Pauses::new(None, now));
+    let outcome = compio::time::timeout(stalled_at.since(now), attempting).await;
+    outcome.unwrap_or_else(|_| {
+        tracing::info!(event = "attempt_slow", request_id = admitted.id(), endpoint = %endpoint.id);
+        let mut suspicions = entry.suspicions.borrow_mut();
+        suspicions.note_unresponsive(&endpoint.id, Moment::now());
+        AttemptOutcome::Failed
+    })
+}
+
 /// Waits for a placement: first among the requests that can meet their target, then, once this one can't, behind them
 /// for as long as its caller waits.
 ///
@@ -340,6 +365,9 @@
     event_tokens: u32,
     last_event_id: Option<u64>,
     events: u32,
+    pauses: Pauses,
+    /// Whether the stream stalled when no retry was left, so that nothing can be done but wait.
+    waits_out_stall: bool,
     opened: Option<(Placement, AnswerBody)>,
 }
 
@@ -367,6 +395,8 @@
         event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
         events: 0,
+        pauses: Pauses::new(entry.usual_pause(event_tokens.unwrap_or(0)), Moment::now()),
+        waits_out_stall: false,
         opened: Some((placement, body)),
     };
     let chunks = stream::unfold(relay, |mut relay| async move {
@@ -380,9 +410,12 @@
     /// The next complete events; `None` at the regular end of the stream.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
+            let stalled_at = self.stalled_at();
             let (placement, body) = self.opened.as_mut()?;
+            let now = Moment::now();
             let left = self.admitted.time_left();
-            let read = compio::time::timeout(left, body.next()).await;
+            let wait = stalled_at.map_or(left, |at| at.since(now).min(left));
+            let read = compio::time::timeout(wait, body.next()).await;
             match read {
                 Ok(Ok(Some(bytes))) => {
                     let Ok(events) = self.splitter.push(&bytes) else {
@@ -392,6 +425,7 @@
                         continue;
                     }
                     placement.advance(events.count.saturating_mul(self.event_tokens));
+                    self.pauses.note_events(events.count, Moment::now());
                     self.events = self.events.saturating_add(events.count);
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
@@ -407,11 +441,26 @@
                         return Some(Err(self.cut(refusal.reason)));
                     }
                 }
+                Err(_) if wait < left => {
+                    if !self.entry.take_retry(&self.admitted.service) {
+                        self.waits_out_stall = true;
+                        continue;
+                    }
+                    if let Err(refusal) = self.resume_stalled().await {
+                        return Some(Err(self.cut(refusal.reason)));
+                    }
+                }
                 Err(_) => return Some(Err(self.cut(RequestEnd::TimedOut))),
             }
         }
     }
 
+    /// Moment from which the endpoint is given up if it sends nothing; `None` if no other endpoint may continue.
+    fn stalled_at(&self) -> Option<Moment> {
+        let can_resume = !self.waits_out_stall && self.progress.may_retry(&self.admitted);
+        can_resume.then(|| self.admitted.stalled_at(&self.pauses))
+    }
+
     fn note_complete(&mut self) {
         let generated = self.events.saturating_mul(self.event_tokens);
         if let Some(estimate) = self.admitted.facts.output_estimate_tokens {
@@ -461,20 +510,42 @@
         io::Error::other(reason.label())
     }
 
-    /// Opens the stream again, after its last complete event.
+    /// Continues a stream whose connection broke.
     async fn resume(&mut self, error: &io::Error) -> Result<(), Refusal> {
-        let Some((placement, _)) = self.opened.take() else {
+        let Some(endpoint) = self.leave_endpoint(error) else {
             return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
         };
         let now = Moment::now();
-        let endpoint = Rc::clone(&placement.endpoint);
-        drop(placement);
         self.entry
             .suspicions
             .borrow_mut()
             .note_failure(&endpoint.id, now);
         let fingerprint = self.admitted.fingerprint;
         self.entry.check_for_crash(&endpoint, fingerprint);
+        let can_retry = self.progress.may_retry(&self.admitted);
+        let is_blocked = self.entry.poison.borrow().is_blocked(fingerprint, now);
+        if !can_retry || is_blocked || !self.entry.take_retry(&self.admitted.service) {
+            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
+        }
+        self.reopen().await
+    }
+
+    /// Continues a stream whose endpoint sends nothing, with a retry that has been taken.
+    async fn resume_stalled(&mut self) -> Result<(), Refusal> {
+        let Some(endpoint) = self.leave_endpoint(&"no event for too long") else {
+            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
+        };
+        self.entry
+            .suspicions
+            .borrow_mut()
+            .note_unresponsive(&endpoint.id, Moment::now());
+        self.reopen().await
+    }
+
+    /// Closes the connection to the stream's endpoint and excludes it.
+    fn leave_endpoint(&mut self, error: &dyn std::fmt::Display) -> Option<Rc<Endpoint>> {
+        let (placement, _) = self.opened.take()?;
+        let endpoint = Rc::clone(&placement.endpoint);
         tracing::info!(
             event = "stream_broke",
             request_id = self.admitted.id(),
@@ -484,14 +555,11 @@
         );
         self.splitter = EventSplitter::default();
         self.progress.excluded.push(endpoint.id.clone());
-        let can_retry = self.progress.may_retry(&self.admitted);
-        let is_blocked = {
-            let poison = self.entry.poison.borrow();
-            poison.is_blocked(self.admitted.fingerprint, now)
-        };
-        if !can_retry || is_blocked || !self.entry.take_retry(&self.admitted.service) {
-            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
-        }
+        Some(endpoint)
+    }
+
+    /// Opens the stream again, after its last complete event.
+    async fn reopen(&mut self) -> Result<(), Refusal> {
         let opening = open(
             &self.entry,
             &self.admitted,
@@ -503,6 +571,8 @@
         if !opened.parts.status.is_success() {
             return Err(Refusal::may_have_run(RequestEnd::ResumeFailed));
         }
+        let usual = self.entry.usual_pause(self.event_tokens);
+        self.pauses = Pauses::new(usual, Moment::now());
         self.opened = Some((opened.placement, opened.body));
         Ok(())
     }
