Send a caller on at once if another entry serves

Change: heartbeats say whether an entry serves callers with keys; a refusal for want of a configuration or of a proof says "at once" while any peer that is heard does. Test: a peer's heartbeats decide what a refused caller is told.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -25,6 +25,7 @@
     poison::{Fingerprint, Poison},
     quota::{Quotas, usable_share},
     registry::Registry,
+    request::TRANSIENT_RETRY_AFTER,
     request_log::Sampler,
     retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
@@ -365,31 +366,53 @@
         }
     }
 
+    /// Whether this entry serves callers, also those with keys.
+    pub(crate) fn is_serving(&self, now: Moment) -> bool {
+        let registry = self.registry.borrow();
+        registry.configuration().is_some()
+            && self.are_keys_open(now)
+            && registry.has_endpoints()
+            && !self.is_leaving()
+    }
+
+    fn are_keys_open(&self, now: Moment) -> bool {
+        let registry = self.registry.borrow();
+        let has_teams = registry
+            .configuration()
+            .is_some_and(|current| current.has_teams);
+        let key_withdrawal = self.settings().bounds.key_withdrawal();
+        !has_teams || registry.keys_are_fresh(now, key_withdrawal)
+    }
+
     /// Whether the load balancer should send callers here; logs a change.
     fn is_ready(&self) -> bool {
         let now = Moment::now();
-        let registry = self.registry.borrow();
-        let configuration = registry.configuration();
-        let key_withdrawal = self.settings().bounds.key_withdrawal();
-        let has_teams = configuration.is_some_and(|current| current.has_teams);
-        let are_keys_open = !has_teams || registry.keys_are_fresh(now, key_withdrawal);
-        let has_endpoints = registry.has_endpoints();
-        let is_leaving = self.is_leaving();
-        let is_ready = configuration.is_some() && are_keys_open && has_endpoints && !is_leaving;
+        let is_ready = self.is_serving(now);
         if self.was_ready.replace(is_ready) != is_ready {
+            let registry = self.registry.borrow();
             tracing::info!(
                 event = "readiness_changed",
                 is_ready,
-                configuration = configuration.map(|current| current.version),
-                are_keys_open,
+                configuration = registry.configuration().map(|current| current.version),
+                are_keys_open = self.are_keys_open(now),
                 proof_age_s = registry.proof_age(now).map(|age| age.as_secs_f64()),
-                has_endpoints,
-                is_leaving,
+                has_endpoints = registry.has_endpoints(),
+                is_leaving = self.is_leaving(),
             );
         }
         is_ready
     }
 
+    /// Retry-After of a request that is refused for a cause within this entry. Callers retry at another entry, so they
+    /// need not wait if one serves.
+    pub(crate) fn retry_elsewhere_after(&self) -> Duration {
+        if self.peers.borrow().is_any_serving(Moment::now()) {
+            Duration::ZERO
+        } else {
+            TRANSIENT_RETRY_AFTER
+        }
+    }
+
     pub(crate) fn answer_probe(&self) -> Response<BoxedBody> {
         let mut response = Response::new(empty_body());
         if !self.is_ready() {
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -63,6 +63,8 @@
     pub(crate) data_centre: CentreKey,
     /// Whether the entry reads the store itself, so that peers may follow it.
     pub(crate) reads_store: bool,
+    /// Whether the entry serves callers with keys.
+    pub(crate) is_serving: bool,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ReportedAccount>,
     pub(crate) work: ReportedWork,
@@ -86,6 +88,7 @@
     waiting: Vec<(u64, QueueRank)>,
     data_centre: CentreKey,
     reads_store: bool,
+    is_serving: bool,
     /// End of the time in which this entry doesn't follow the peer.
     avoided_until: Moment,
 }
@@ -100,6 +103,7 @@
             waiting: Vec::new(),
             data_centre: 0,
             reads_store: false,
+            is_serving: false,
             avoided_until: now,
         }
     }
@@ -169,6 +173,12 @@
         near.map(neighbour).collect()
     }
 
+    /// Whether any other entry serves callers at present.
+    pub(crate) fn is_any_serving(&self, now: Moment) -> bool {
+        let mut peers = self.known.values();
+        peers.any(|peer| peer.is_serving && now.since(peer.last_seen_at) <= SILENT_AFTER)
+    }
+
     /// Records that a peer that this entry followed failed to answer it.
     pub(crate) fn avoid_reader(&mut self, reader: SocketAddr, until: Moment) {
         if let Some(peer) = self.known.get_mut(&reader) {
@@ -365,6 +375,7 @@
             sequence: peers.sequence,
             data_centre: peers.data_centre,
             reads_store: entry.reads_store.get() && !entry.is_leaving(),
+            is_serving: entry.is_serving(now),
             peers: reported_peers,
             accounts,
             work,
@@ -406,7 +417,7 @@
     }
 }
 
-fn apply_heartbeat(entry: &Entry, from: SocketAddr, heartbeat: Heartbeat) {
+pub(crate) fn apply_heartbeat(entry: &Entry, from: SocketAddr, heartbeat: Heartbeat) {
     let now = Moment::now();
     let mut peers = entry.peers.borrow_mut();
     if heartbeat.incarnation == peers.incarnation {
@@ -451,6 +462,7 @@
     peer.last_sequence = heartbeat.sequence;
     peer.data_centre = heartbeat.data_centre;
     peer.reads_store = heartbeat.reads_store;
+    peer.is_serving = heartbeat.is_serving;
     for (number, fingerprint) in heartbeat.crashes {
         if number > peer.last_crash_number {
             peer.last_crash_number = number;
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -3,10 +3,10 @@
 use crate::{
     clock::Moment,
     loads::{Loads, Run, Work},
-    peers::{Heartbeat, Peers, changes_interval, heartbeat_period},
+    peers::{Heartbeat, Peers, apply_heartbeat, changes_interval, heartbeat_period},
     placement::{QueueRank, ReportedWaiter, scheduling_round},
     quota::Quotas,
-    testing::{at_ms, team, wait_limits_until},
+    testing::{at_ms, entry_with_empty_dialect, team, wait_limits_until},
 };
 
 const KEYS_REJECTED_AFTER: Duration = Duration::from_secs(6);
@@ -166,6 +166,7 @@
         sequence: 1_000,
         data_centre: u16::MAX,
         reads_store: true,
+        is_serving: true,
         peers: seeds(peers),
         accounts: quotas.report(1.0, at_ms(0)),
         work: loads.report_all(),
@@ -184,3 +185,30 @@
     assert!(usual <= 1_400, "{usual}");
     assert!(large <= 1_400, "{large}");
 }
+
+/// The store turns one entry away, so that it can't prove its keys, while it serves the others. A caller that is refused
+/// here is served there at once.
+#[test]
+fn a_refused_caller_is_told_to_come_back_at_once_if_a_peer_serves() {
+    let entry = entry_with_empty_dialect();
+    assert!(!entry.retry_elsewhere_after().is_zero());
+    let heartbeat = |sequence, is_serving| Heartbeat {
+        incarnation: 1,
+        is_ending: false,
+        sequence,
+        data_centre: 0,
+        reads_store: false,
+        is_serving,
+        peers: Vec::new(),
+        accounts: Vec::new(),
+        work: Loads::default().report_all(),
+        results: Vec::new(),
+        waiting: Vec::new(),
+        crashes: Vec::new(),
+    };
+    let from = SocketAddr::from(([10, 0, 0, 2], 7_500));
+    apply_heartbeat(&entry, from, heartbeat(1, true));
+    assert!(entry.retry_elsewhere_after().is_zero());
+    apply_heartbeat(&entry, from, heartbeat(2, false));
+    assert!(!entry.retry_elsewhere_after().is_zero());
+}
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -285,8 +285,9 @@
     }
     let registry = entry.registry.borrow();
     let configuration = registry.configuration().cloned();
-    let configuration = configuration
-        .ok_or_else(|| Refusal::not_run(RequestEnd::NoConfiguration, TRANSIENT_RETRY_AFTER))?;
+    let configuration = configuration.ok_or_else(|| {
+        Refusal::not_run(RequestEnd::NoConfiguration, entry.retry_elsewhere_after())
+    })?;
     if head_bytes(parts) > configuration.limits.max_head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(Refusal::caller_error(status, RequestEnd::HeadTooLarge));
@@ -350,7 +351,7 @@
     if is_keyed && !registry.keys_are_fresh(Moment::now(), key_withdrawal) {
         return Err(Refusal::not_run(
             RequestEnd::KeysNotProved,
-            TRANSIENT_RETRY_AFTER,
+            entry.retry_elsewhere_after(),
         ));
     }
     Ok(())
--- a/crates/camphorwall-direct/src/stall_tests.rs
+++ b/crates/camphorwall-direct/src/stall_tests.rs
@@ -18,7 +18,10 @@
         is_cut |= pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME) < last;
         pauses.note_events(1, last);
     }
-    (is_cut, pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME).since(last))
+    (
+        is_cut,
+        pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME).since(last),
+    )
 }
 
 /// An endpoint turns 4 to 20 times slower in the middle of a stream, or sends an event only every second.
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -123,7 +123,14 @@
     let mut connect_progress = progress.clone();
     let (prefilled, connected) = futures_util::join!(
         prefill(entry, admitted, progress, &decode),
-        connect(entry, admitted, &mut connect_progress, last_event_id, None, placement),
+        connect(
+            entry,
+            admitted,
+            &mut connect_progress,
+            last_event_id,
+            None,
+            placement
+        ),
     );
     progress.excluded = connect_progress.excluded;
     let prefilled = prefilled?;
@@ -157,7 +164,15 @@
             prefilled = finished;
             connected
         } else {
-            connect(entry, admitted, progress, last_event_id, cache_until, placement).await?
+            connect(
+                entry,
+                admitted,
+                progress,
+                last_event_id,
+                cache_until,
+                placement,
+            )
+            .await?
         };
         let takes_work = {
             let registry = entry.registry.borrow();
@@ -172,8 +187,14 @@
             let cache_until = prefilled.as_ref().map(Prefilled::offer_until);
             let placement =
                 find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
-            let connecting =
-                connect(entry, admitted, progress, last_event_id, cache_until, placement);
+            let connecting = connect(
+                entry,
+                admitted,
+                progress,
+                last_event_id,
+                cache_until,
+                placement,
+            );
             connected = connecting.await?;
         }
         let ConnectedPlacement {
