Tell callers that found no place to come back after as long as they waited

Change: the Retry-After is the time that the request waited, at least 1 s: an overload that has lasted for a time is likely to last as long again. Test: the emulator's four loads with bursts of five seconds; of callers that retry once, 0.0198 stay unserved when they come back after 1 s, 0.0166 with the new Retry-After.

--- a/crates/camphorwall-direct/src/emulator_tests.rs
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -4,7 +4,7 @@
 //! The parameters are those of a reference engine: a KV cache of 106,978 tokens, 12 slots, a step time that grows with
 //! each run, prefill at 55.6 tokens a millisecond, and a prefilled KV cache that expires after half a second.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use camphorwall::ServiceId;
 use rand::{RngExt as _, SeedableRng as _};
@@ -15,6 +15,7 @@
     lengths::LengthModel,
     loads::{ForecastRun, Run},
     placement::{kv_fill_limit, scheduling_round},
+    stream::retry_after_wait,
 };
 
 const TICK_MS: u64 = 2;
@@ -29,8 +30,6 @@
 /// Time within which a request must be placed. A caller gives up a stream without tokens after four targets; the
 /// placement must come one target earlier.
 const START_WITHIN_MS: u64 = 3 * TARGET_MS;
-/// Time after which a refused caller retries, once.
-const RETRY_AFTER_MS: u64 = 1_000;
 const KV_LIFETIME_MS: u64 = 500;
 const CAPACITY_TOKENS: u64 = 106_978;
 const SLOTS: u32 = 12;
@@ -248,11 +247,20 @@
         }
     }
 
+    /// Time after which a refused caller retries, once.
+    fn retry_after_ms(&self) -> u64 {
+        let waited = Duration::from_millis(self.wait_limit_ms());
+        let after_wait = u64::try_from(retry_after_wait(waited).as_millis());
+        let after_wait = after_wait.expect("some seconds");
+        self.scenario.retry_after_ms.unwrap_or(after_wait)
+    }
+
     /// Sorts requests that can be in time before late ones; late ones are sorted by their callers' first tries.
     fn order_waiting(&mut self, now_ms: u64) {
         let returning = std::mem::take(&mut self.returning);
         for index in returning {
-            if self.arrived_ms[index] + self.wait_limit_ms() + RETRY_AFTER_MS <= now_ms {
+            let refused_ms = self.arrived_ms[index] + self.wait_limit_ms();
+            if refused_ms + self.retry_after_ms() <= now_ms {
                 self.arrived_ms[index] = now_ms;
                 self.waiting.push(index);
             } else {
@@ -575,6 +583,8 @@
     uses_rounds: bool,
     /// Whether refused callers retry once.
     callers_retry: bool,
+    /// Time after which they do, if it is not the product's Retry-After.
+    retry_after_ms: Option<u64>,
 }
 
 impl Scenario {
@@ -587,6 +597,7 @@
             lag_ms: 2,
             uses_rounds: true,
             callers_retry: false,
+            retry_after_ms: None,
         }
     }
 }
@@ -846,3 +857,25 @@
         );
     }
 }
+
+/// Bursts last for some seconds, longer than a request waits for a place. A caller that is refused then and comes back
+/// after a second meets the same burst, and does not come back again.
+#[test]
+fn callers_that_come_back_after_as_long_as_they_waited_are_served_more_often() {
+    let unserved = [Some(1_000), None].map(|retry_after_ms| {
+        let shares = BURSTS.map(|scenario| {
+            let scenario = Scenario {
+                callers_retry: true,
+                retry_after_ms,
+                ..scenario
+            };
+            let results = simulate_seeds(Policy::Forecast, scenario);
+            1.0 - mean(&results, Totals::served_share)
+        });
+        shares.iter().sum::<f64>() / shares.len() as f64
+    });
+    println!(
+        "unserved when they come back after 1 s, and after as long as they waited: {unserved:.4?}"
+    );
+    assert!(unserved[1] < unserved[0] * 0.9, "{unserved:?}");
+}
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -318,7 +318,18 @@
         }
     }
     RequestLog::add_elapsed(&admitted.request_log.placement_wait, since);
-    placement.ok_or_else(|| progress.give_up(RequestEnd::NoPlaceInTime, CAPACITY_RETRY_AFTER))
+    placement.ok_or_else(|| {
+        let retry_after = retry_after_wait(Moment::now().since(since));
+        progress.give_up(RequestEnd::NoPlaceInTime, retry_after)
+    })
+}
+
+/// Retry-After of a request that waited for a place in vain.
+///
+/// An overload that has lasted for a time is likely to last as long again. A caller that comes back sooner waits in vain
+/// once more, and most callers retry only once.
+pub(crate) fn retry_after_wait(waited: Duration) -> Duration {
+    waited.max(CAPACITY_RETRY_AFTER)
 }
 
 /// The phases in which a request waits: its rank and the end of the phase.
