--- a/crates/camphorwall-cli/src/commands/command.rs
+++ b/crates/camphorwall-cli/src/commands/command.rs
@@ -6,8 +6,8 @@
 use getopts::Matches;
 
 use super::{
-    config_status, drain, explain, histograms, published_check, quarantine_lift, quarantine_list,
-    settings_check, status, teams,
+    config_status, drain, explain, histograms, losses, published_check, quarantine_lift,
+    quarantine_list, settings_check, status, teams,
 };
 
 /// Exit code for an invalid command line or invalid input files.
@@ -52,11 +52,12 @@
 }
 
 /// All commands, sorted by name.
-pub(crate) const COMMANDS: [Command; 10] = [
+pub(crate) const COMMANDS: [Command; 11] = [
     config_status::COMMAND,
     drain::COMMAND,
     explain::COMMAND,
     histograms::COMMAND,
+    losses::COMMAND,
     published_check::COMMAND,
     quarantine_lift::COMMAND,
     quarantine_list::COMMAND,
--- a/crates/camphorwall-cli/src/commands/explain_log.rs
+++ b/crates/camphorwall-cli/src/commands/explain_log.rs
@@ -1,10 +1,13 @@
 //! Reads the log lines of a request from saved logs, for `explain --log`.
 
-use std::{collections::BTreeMap, path::Path};
+use std::collections::BTreeMap;
 
 use camphorwall::RequestEnd;
 
-use super::command::CommandError;
+use super::{
+    command::CommandError,
+    log_lines::{field, read_logs},
+};
 
 /// A log line of a request.
 struct LogLine<'a> {
@@ -21,13 +24,7 @@
 /// # Errors
 /// When a file can't be read or no line contains the request id.
 pub(crate) fn explain_logs(files: &[String], request_id: &str) -> Result<String, CommandError> {
-    let mut texts = Vec::new();
-    for file in files {
-        let text = std::fs::read(Path::new(file)).map_err(|error| CommandError::Invalid {
-            message: format!("{file}: can't be read: {error}; check the path"),
-        })?;
-        texts.push(String::from_utf8_lossy(&text).into_owned());
-    }
+    let texts = read_logs(files)?;
     let lines = texts.iter().flat_map(|text| text.lines());
     let history = request_history(lines, request_id);
     history.ok_or_else(|| CommandError::Invalid {
@@ -76,25 +73,6 @@
     })
 }
 
-/// Value of a field in a line, without quotes.
-fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
-    let mut rest = line;
-    loop {
-        let start = rest.find(name)?;
-        let after = &rest[start + name.len()..];
-        let is_at_word_start = start == 0 || rest[..start].ends_with(' ');
-        match after.strip_prefix('=') {
-            Some(value) if is_at_word_start => {
-                let quoted = value
-                    .strip_prefix('"')
-                    .and_then(|value| value.split('"').next());
-                return quoted.or_else(|| value.split_whitespace().next());
-            }
-            _ => rest = after,
-        }
-    }
-}
-
 #[cfg(test)]
 #[path = "explain_log_tests.rs"]
 mod tests;
--- a/crates/camphorwall-cli/src/commands/mod.rs
+++ b/crates/camphorwall-cli/src/commands/mod.rs
@@ -7,6 +7,8 @@
 mod explain_log;
 mod histograms;
 mod instance;
+mod log_lines;
+mod losses;
 mod published_check;
 mod quarantine_lift;
 mod quarantine_list;
