Don't take an entry's own standstill for that of its endpoints

Cause: an entry that was suspended for seconds found the timers of all its streams expired when it woke, before it had read what had arrived meanwhile, and left sound endpoints. Change: a timer that fires more than 200 ms late shows that the entry itself stood still; the pause then starts anew. Test: an entry that wakes half a second after its timer was due.

--- a/crates/camphorwall-direct/src/stall.rs
+++ b/crates/camphorwall-direct/src/stall.rs
@@ -11,6 +11,9 @@
 /// Shortest pause that counts as a stall. An engine that preempts a run prefills it again before it goes on.
 const MIN_STALL: Duration = Duration::from_millis(1_500);
 
+/// Delay of a timer beyond which this process itself stood still, and not the endpoint.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(200);
+
 /// Weight of the newest pause in the usual one.
 const NEWEST_WEIGHT: f64 = 0.3;
 
@@ -40,6 +43,11 @@
         self.usual = Some(usual);
     }
 
+    /// Starts the current pause anew.
+    pub(crate) fn restart(&mut self, now: Moment) {
+        self.last_event_at = now;
+    }
+
     /// Moment from which the stream counts as stalled if nothing arrives. The caller waits for `wait_limit` after an event;
     /// `reopen_time` of that is needed to continue at another endpoint.
     pub(crate) fn stalled_at(&self, wait_limit: Duration, reopen_time: Duration) -> Moment {
@@ -48,3 +56,9 @@
         self.last_event_at + unusual.max(MIN_STALL).min(last_chance)
     }
 }
+
+/// Whether a timer that should have fired at one moment shows, by firing much later, that this process stood still. What
+/// arrived meanwhile has not been read yet.
+pub(crate) fn has_stood_still(due_at: Moment, now: Moment) -> bool {
+    now.since(due_at) > MAX_TIMER_DELAY
+}
--- a/crates/camphorwall-direct/src/stall_tests.rs
+++ b/crates/camphorwall-direct/src/stall_tests.rs
@@ -2,7 +2,10 @@
 
 use rstest::rstest;
 
-use crate::{stall::Pauses, testing::at_ms};
+use crate::{
+    stall::{Pauses, has_stood_still},
+    testing::at_ms,
+};
 
 /// Time for which a caller waits for the next event.
 const WAIT_LIMIT: Duration = Duration::from_millis(3_600);
@@ -46,3 +49,15 @@
     assert!(!is_cut);
     assert!(after + REOPEN_TIME <= WAIT_LIMIT, "{after:?}");
 }
+
+/// An entry is suspended for two seconds while its streams go on: their events wait in its sockets when it wakes.
+#[test]
+fn an_entry_that_stood_still_does_not_leave_its_endpoints() {
+    let mut pauses = Pauses::new(Some(Duration::from_millis(50)), at_ms(0));
+    let due_at = pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME);
+    let woken_at = due_at + Duration::from_millis(500);
+    assert!(has_stood_still(due_at, woken_at));
+    assert!(!has_stood_still(due_at, due_at + Duration::from_millis(5)));
+    pauses.restart(woken_at);
+    assert!(pauses.stalled_at(WAIT_LIMIT, REOPEN_TIME).since(woken_at) >= Duration::from_secs(1));
+}
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -1,6 +1,6 @@
 //! Serves a streamed request of a model: waits for a decode placement, runs the prefill, then relays the stream.
 
-use std::{cell::Cell, future::Future, io, rc::Rc, time::Duration};
+use std::{cell::Cell, future::Future, io, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use camphorwall::{BoxedBody, RequestEnd, stream_body};
@@ -22,7 +22,7 @@
     refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
-    stall::Pauses,
+    stall::{Pauses, has_stood_still},
     upstream::{Answer, AnswerBody, Connection},
 };
 
@@ -253,15 +253,21 @@
     endpoint: &Endpoint,
     attempting: impl Future<Output = AttemptOutcome>,
 ) -> AttemptOutcome {
-    let now = Moment::now();
-    let stalled_at = admitted.stalled_at(&Pauses::new(None, now));
-    let outcome = compio::time::timeout(stalled_at.since(now), attempting).await;
-    outcome.unwrap_or_else(|_| {
-        tracing::info!(event = "attempt_slow", request_id = admitted.id(), endpoint = %endpoint.id);
-        let mut suspicions = entry.suspicions.borrow_mut();
-        suspicions.note_unresponsive(&endpoint.id, Moment::now());
-        AttemptOutcome::Failed
-    })
+    let mut attempting = pin!(attempting);
+    loop {
+        let now = Moment::now();
+        let stalled_at = admitted.stalled_at(&Pauses::new(None, now));
+        let waiting = compio::time::timeout(stalled_at.since(now), &mut attempting);
+        match waiting.await {
+            Ok(outcome) => return outcome,
+            Err(_) if has_stood_still(stalled_at, Moment::now()) => {}
+            Err(_) => break,
+        }
+    }
+    tracing::info!(event = "attempt_slow", request_id = admitted.id(), endpoint = %endpoint.id);
+    let mut suspicions = entry.suspicions.borrow_mut();
+    suspicions.note_unresponsive(&endpoint.id, Moment::now());
+    AttemptOutcome::Failed
 }
 
 /// Waits for a placement: first among the requests that can meet their target, then, once this one can't, behind them
@@ -474,6 +480,9 @@
                         return Some(Err(self.cut(refusal.reason)));
                     }
                 }
+                Err(_) if wait < left && has_stood_still(now + wait, Moment::now()) => {
+                    self.pauses.restart(Moment::now());
+                }
                 Err(_) if wait < left => {
                     if !self.entry.take_retry(&self.admitted.service) {
                         self.waits_out_stall = true;
