Split the preparation of a stream from its opening

`open` found a place, ran the prefill, connected, and looked for another place when the endpoint had begun to drain, in one function.

--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -144,14 +144,14 @@
     }
 }
 
-/// Finds a placement, runs the prefill and opens the stream.
-async fn open(
+/// Finds a placement with a connection to its endpoint, and has the prompt prefilled unless its KV cache is ready.
+async fn prepare(
     entry: &Rc<Entry>,
     admitted: &Admitted,
     progress: &mut Progress,
     last_event_id: Option<u64>,
-) -> Result<OpenStream, Refusal> {
-    let mut prefilled: Option<Prefilled> = None;
+    prefilled: &mut Option<Prefilled>,
+) -> Result<ConnectedPlacement, Refusal> {
     loop {
         let cache_until = prefilled.as_ref().map(Prefilled::offer_until);
         let placement =
@@ -159,35 +159,12 @@
         if cache_until.is_some_and(|until| until < Moment::now()) {
             free_kv_cache(entry, prefilled.take());
         }
-        let mut connected = if prefilled.is_none() && admitted.service_facts.engine.is_some() {
+        let connected = if prefilled.is_none() && admitted.service_facts.engine.is_some() {
             let (finished, connected) =
                 prefill_and_connect(entry, admitted, progress, last_event_id, placement).await?;
-            prefilled = finished;
+            *prefilled = finished;
             connected
         } else {
-            connect(
-                entry,
-                admitted,
-                progress,
-                last_event_id,
-                cache_until,
-                placement,
-            )
-            .await?
-        };
-        let takes_work = {
-            let registry = entry.registry.borrow();
-            registry.takes_work(&connected.placement.endpoint, Moment::now())
-        };
-        if !takes_work {
-            // The endpoint began to drain during the prefill.
-            progress
-                .excluded
-                .push(connected.placement.endpoint.id.clone());
-            drop(connected);
-            let cache_until = prefilled.as_ref().map(Prefilled::offer_until);
-            let placement =
-                find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
             let connecting = connect(
                 entry,
                 admitted,
@@ -196,12 +173,30 @@
                 cache_until,
                 placement,
             );
-            connected = connecting.await?;
+            connecting.await?
+        };
+        let endpoint = &connected.placement.endpoint;
+        if entry.registry.borrow().takes_work(endpoint, Moment::now()) {
+            return Ok(connected);
         }
+        // The endpoint began to drain during the prefill.
+        progress.excluded.push(endpoint.id.clone());
+    }
+}
+
+/// Finds a placement, runs the prefill and opens the stream.
+async fn open(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &mut Progress,
+    last_event_id: Option<u64>,
+) -> Result<OpenStream, Refusal> {
+    let mut prefilled: Option<Prefilled> = None;
+    loop {
         let ConnectedPlacement {
             placement,
             connection,
-        } = connected;
+        } = prepare(entry, admitted, progress, last_event_id, &mut prefilled).await?;
         let source = prefilled.as_ref();
         let source = source.map(|held| (held.endpoint.address, held.handle.clone()));
         let stage = admitted.stage();
