Log the request, its events and its prompt parts with each crash of an endpoint

The logs could not tell whether requests that crash endpoints have a part of their prompts in common: a crash was logged with a hash of the whole request. The adapter now reads the names of the parts that other requests may share, and endpoint_crashed carries the request's id, the events since the stream was opened and these names. Nothing is decided by them yet.

--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -1,11 +1,12 @@
 //! Interface of a platform's adapter, which translates heads of requests and answers, engine calls and the store's
 //! documents.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use camphorwall::{EndpointId, TeamId};
 use http::{HeaderMap, Request, request, response};
+use serde::{Deserialize, Serialize};
 
 use crate::configuration::{Configuration, Endpoint, Stage};
 
@@ -74,6 +75,8 @@
     pub prompt_tokens: Option<u64>,
     /// Maximum number of tokens of the answer.
     pub max_output_tokens: Option<u64>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PromptPart>,
     /// The caller's estimate of the answer's tokens.
     pub output_estimate_tokens: Option<u64>,
     /// Last event that the caller has received, when it resumes a stream.
@@ -82,6 +85,16 @@
     pub has_two_lengths: bool,
 }
 
+/// Name of a part of a prompt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PromptPart(pub u64);
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
 /// What an entry adds to the caller's head in a request to an endpoint.
 #[derive(Clone, Debug)]
 pub struct ForwardingFacts {
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock::Moment,
     configuration::{Endpoint, RouteKind},
-    dialect::Dialect,
+    dialect::{Dialect, PromptPart},
     lengths::LengthModel,
     loads::Loads,
     metrics::{GaugeValues, Metrics},
@@ -25,7 +25,7 @@
     poison::{Fingerprint, Poison},
     quota::{Quotas, usable_share},
     registry::Registry,
-    request::TRANSIENT_RETRY_AFTER,
+    request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::Sampler,
     retries::{RetryBounds, RetryBudget},
     settings::DirectSettings,
@@ -146,6 +146,12 @@
     seconds * LENGTH_MARGIN > left.as_secs_f64()
 }
 
+/// Names of prompt parts for the log.
+fn part_list(parts: &[PromptPart]) -> String {
+    let names: Vec<_> = parts.iter().map(ToString::to_string).collect();
+    names.join(",")
+}
+
 fn retry_bounds(settings: &DirectSettings) -> RetryBounds {
     RetryBounds {
         share: settings.bounds.retry_share(),
@@ -317,7 +323,7 @@
     pub(crate) fn note_send_error(
         self: &Rc<Self>,
         endpoint: &Endpoint,
-        fingerprint: Fingerprint,
+        admitted: &Admitted,
         error: &SendError,
     ) -> bool {
         let now = Moment::now();
@@ -329,24 +335,39 @@
             }
             SendError::Broken { .. } => {
                 suspicions.note_failure(&endpoint.id, now);
-                self.check_for_crash(endpoint, fingerprint);
+                self.check_for_crash(endpoint, admitted, 0);
                 true
             }
         }
     }
 
-    /// Checks in the background whether an endpoint that broke off a request has crashed. An endpoint that only lost an
-    /// answer or reset a connection still accepts new connections.
-    pub(crate) fn check_for_crash(self: &Rc<Self>, endpoint: &Endpoint, fingerprint: Fingerprint) {
+    /// Checks in the background whether an endpoint that broke off a request after a number of events has crashed. An
+    /// endpoint that only lost an answer or reset a connection still accepts new connections.
+    pub(crate) fn check_for_crash(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        admitted: &Admitted,
+        events: u32,
+    ) {
         let entry = Rc::clone(self);
         let (id, address) = (endpoint.id.clone(), endpoint.address);
+        let request_log = Rc::clone(&admitted.request_log);
+        let fingerprint = admitted.fingerprint;
+        let shared_parts = admitted.facts.shared_parts.clone();
         self.tasks.spawn(async move {
             compio::time::sleep(CRASH_CHECK_PAUSE).await;
             if Connection::open(address).await.is_ok() {
                 return;
             }
             let now = Moment::now();
-            tracing::info!(event = "endpoint_crashed", endpoint = %id, fingerprint = fingerprint.0);
+            tracing::info!(
+                event = "endpoint_crashed",
+                endpoint = %id,
+                request_id = &*request_log.id,
+                events,
+                shared_parts = part_list(&shared_parts),
+                fingerprint = fingerprint.0,
+            );
             entry.suspicions.borrow_mut().note_unreachable(&id, now);
             entry.note_crash(fingerprint);
         });
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -138,7 +138,7 @@
                 endpoint = %endpoint.id,
                 %error,
             );
-            return if entry.note_send_error(endpoint, admitted.fingerprint, &error) {
+            return if entry.note_send_error(endpoint, admitted, &error) {
                 AttemptOutcome::Failed
             } else {
                 AttemptOutcome::NotSent
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -151,7 +151,7 @@
         Ok(answer) => answer,
         Err(error) => {
             tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-            return if entry.note_send_error(endpoint, admitted.fingerprint, &error) {
+            return if entry.note_send_error(endpoint, admitted, &error) {
                 PrefillOutcome::Failed
             } else {
                 PrefillOutcome::NotSent
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -101,7 +101,7 @@
         };
         let endpoint = &placement.endpoint;
         tracing::info!(event = "connect_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-        entry.note_send_error(endpoint, admitted.fingerprint, &error);
+        entry.note_send_error(endpoint, admitted, &error);
         progress.excluded.push(endpoint.id.clone());
         drop(placement);
         placement = find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
@@ -398,7 +398,10 @@
     splitter: EventSplitter,
     event_tokens: u32,
     last_event_id: Option<u64>,
+    /// Events that have reached the caller.
     events: u32,
+    /// Events since the stream was last opened.
+    run_events: u32,
     pauses: Pauses,
     /// Whether the stream stalled when no retry was left, so that nothing can be done but wait.
     waits_out_stall: bool,
@@ -429,6 +432,7 @@
         event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
         events: 0,
+        run_events: 0,
         pauses: Pauses::new(entry.usual_pause(event_tokens.unwrap_or(0)), Moment::now()),
         waits_out_stall: false,
         opened: Some((placement, body)),
@@ -461,6 +465,7 @@
                     placement.advance(events.count.saturating_mul(self.event_tokens));
                     self.pauses.note_events(events.count, Moment::now());
                     self.events = self.events.saturating_add(events.count);
+                    self.run_events = self.run_events.saturating_add(events.count);
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
                 }
@@ -558,7 +563,8 @@
             .borrow_mut()
             .note_failure(&endpoint.id, now);
         let fingerprint = self.admitted.fingerprint;
-        self.entry.check_for_crash(&endpoint, fingerprint);
+        self.entry
+            .check_for_crash(&endpoint, &self.admitted, self.run_events);
         let can_retry = self.progress.may_retry(&self.admitted);
         let is_blocked = self.entry.poison.borrow().is_blocked(fingerprint, now);
         if !can_retry || is_blocked || !self.entry.take_retry(&self.admitted.service) {
@@ -610,6 +616,7 @@
         }
         let usual = self.entry.usual_pause(self.event_tokens);
         self.pauses = Pauses::new(usual, Moment::now());
+        self.run_events = 0;
         self.opened = Some((opened.placement, opened.body));
         Ok(())
     }
