Block the part of a prompt that crashes endpoints, not only the whole request

Callers saw: while requests with one part in their prompts came, endpoint after endpoint crashed; each crash cut the 5 to 10 streams that ran there. Cause: crashes were counted by a hash of path, key and body. Requests with the part are all different, so none ever had three crashes. The blame fell on the wrong unit, and on all that ran there: streams with a hundred events were counted like the one that had just begun. Change: the suspects of a crash are the requests that the endpoint had not begun to answer, each with the parts of its prompt but the last. The answer to a request that was sent after the crash clears its parts. Parts in three crashes in a row block the requests that have them, for a minute, doubled by each further crash. Parts that were always together block only together, so that sound requests with one of them pass and clear it; endpoints that crash at the same moment count once. Suspects are reported to peers as records that merge in any order, again each second, so that an entry that starts knows them. The block is checked before each send, and requests that wait for a place are rejected at once; before, only the admission checked. Why it works: a harmful part crashes every endpoint that begins to answer it, so it is never cleared, and a sound one is, by the first answer.

Three crashes stay: each costs the streams that run beside it.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -22,7 +22,7 @@
     notify::Notify,
     peers::Peers,
     placement::PlacementQueue,
-    poison::{Fingerprint, Poison},
+    poison::{BlockCause, Content, CrashId, Poison},
     quota::{Quotas, usable_share},
     registry::Registry,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
@@ -324,6 +324,7 @@
         self: &Rc<Self>,
         endpoint: &Endpoint,
         admitted: &Admitted,
+        sent_at: Moment,
         error: &SendError,
     ) -> bool {
         let now = Moment::now();
@@ -335,7 +336,7 @@
             }
             SendError::Broken { .. } => {
                 suspicions.note_failure(&endpoint.id, now);
-                self.check_for_crash(endpoint, admitted, 0);
+                self.check_for_crash(endpoint, admitted, sent_at, 0);
                 true
             }
         }
@@ -347,13 +348,15 @@
         self: &Rc<Self>,
         endpoint: &Endpoint,
         admitted: &Admitted,
+        sent_at: Moment,
         events: u32,
     ) {
+        let broke_at = Moment::now();
         let entry = Rc::clone(self);
         let (id, address) = (endpoint.id.clone(), endpoint.address);
+        let crash = CrashId::of(endpoint);
         let request_log = Rc::clone(&admitted.request_log);
-        let fingerprint = admitted.fingerprint;
-        let shared_parts = admitted.facts.shared_parts.clone();
+        let content = Rc::clone(&admitted.content);
         self.tasks.spawn(async move {
             compio::time::sleep(CRASH_CHECK_PAUSE).await;
             if Connection::open(address).await.is_ok() {
@@ -365,26 +368,42 @@
                 endpoint = %id,
                 request_id = &*request_log.id,
                 events,
-                shared_parts = part_list(&shared_parts),
-                fingerprint = fingerprint.0,
+                shared_parts = part_list(&content.shared_parts),
+                fingerprint = content.fingerprint.0,
             );
             entry.suspicions.borrow_mut().note_unreachable(&id, now);
-            entry.note_crash(fingerprint);
+            if events == 0 {
+                let mut poison = entry.poison.borrow_mut();
+                poison.note_crash(crash, &content, sent_at, broke_at);
+                drop(poison);
+                entry.work_changes.notify();
+                entry.apply_suspect(&content);
+            }
         });
     }
 
-    /// Records that an endpoint crashed while it ran a request, and reports this to the peers.
-    fn note_crash(&self, fingerprint: Fingerprint) {
+    /// Rejects the waiting requests that a new suspect of a crash leads to be blocked, and logs the block.
+    pub(crate) fn apply_suspect(&self, content: &Content) {
         let now = Moment::now();
-        let count = self.poison.borrow_mut().note_crash(fingerprint, now);
-        self.peers.borrow_mut().report_crash(fingerprint);
-        if self.poison.borrow().is_blocked(fingerprint, now) {
-            tracing::warn!(
-                event = "request_blocked",
-                fingerprint = fingerprint.0,
-                count
-            );
+        let poison = self.poison.borrow();
+        let Some(block) = poison.block(content, now) else {
+            return;
+        };
+        let for_s = block.until.since(now).as_secs();
+        match block.cause {
+            BlockCause::Request => {
+                let fingerprint = content.fingerprint.0;
+                let crashes = block.crashes;
+                tracing::warn!(event = "request_blocked", fingerprint, crashes, for_s);
+            }
+            BlockCause::Parts(parts) => {
+                let parts = part_list(&parts);
+                let crashes = block.crashes;
+                tracing::warn!(event = "prompt_parts_blocked", parts, crashes, for_s);
+            }
         }
+        self.placement_queue
+            .reject(|request| poison.block(&request.content, now).is_some());
     }
 
     /// Whether this entry serves callers, also those with keys.
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -62,6 +62,14 @@
         admitted.route.kind.may_retry() && self.runs < admitted.route.max_attempts
     }
 
+    /// Refuses to send a request again whose content has turned out to crash endpoints.
+    pub(crate) fn check_harmless(&self, entry: &Entry, admitted: &Admitted) -> Result<(), Refusal> {
+        admitted.block(entry).map_or(Ok(()), |block| {
+            let retry_after = block.until.since(Moment::now());
+            Err(self.give_up(RequestEnd::CrashesEndpoints, retry_after))
+        })
+    }
+
     /// The refusal of a request whose deadline has passed.
     pub(crate) fn time_out(&self, reason: RequestEnd, retry_after: Duration) -> Refusal {
         if self.runs > 0 {
@@ -107,8 +115,9 @@
     endpoint: &Endpoint,
     request: Request<Bytes>,
 ) -> AttemptOutcome {
+    let sent_at = Moment::now();
     let sent = upstream::send(endpoint.address, request).await;
-    classify(entry, admitted, endpoint, sent)
+    classify(entry, admitted, endpoint, sent_at, sent)
 }
 
 /// Sends a request over an open connection and classifies the head of the answer.
@@ -119,14 +128,16 @@
     endpoint: &Endpoint,
     request: Request<Bytes>,
 ) -> AttemptOutcome {
+    let sent_at = Moment::now();
     let sent = connection.send(request).await;
-    classify(entry, admitted, endpoint, sent)
+    classify(entry, admitted, endpoint, sent_at, sent)
 }
 
 fn classify(
     entry: &Rc<Entry>,
     admitted: &Admitted,
     endpoint: &Endpoint,
+    sent_at: Moment,
     sent: Result<Answer, SendError>,
 ) -> AttemptOutcome {
     let answer = match sent {
@@ -138,7 +149,7 @@
                 endpoint = %endpoint.id,
                 %error,
             );
-            return if entry.note_send_error(endpoint, admitted, &error) {
+            return if entry.note_send_error(endpoint, admitted, sent_at, &error) {
                 AttemptOutcome::Failed
             } else {
                 AttemptOutcome::NotSent
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -11,7 +11,7 @@
     entry::Entry,
     loads::ReportedWork,
     placement::{QueueRank, ReportedWaiter},
-    poison::Fingerprint,
+    poison::ReportedSuspect,
     quota::ReportedAccount,
     store::{CentreKey, Neighbour},
     suspicion::ReportedResults,
@@ -48,9 +48,6 @@
 /// Number of goodbyes that a stopping entry sends to each peer, since datagrams may be lost.
 const GOODBYE_COUNT: u32 = 3;
 
-/// Number of heartbeats that report a crash, since datagrams may be lost.
-const CRASH_REPORTS: u32 = 3;
-
 /// What an entry reports to its peers.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct Heartbeat {
@@ -72,8 +69,8 @@
     pub(crate) results: Vec<ReportedResults>,
     /// The first requests that wait for decode placements.
     pub(crate) waiting: Vec<ReportedWaiter>,
-    /// Requests during which an endpoint crashed: a growing sequence number and the fingerprint.
-    pub(crate) crashes: Vec<(u64, u64)>,
+    /// Requests that may have crashed endpoints.
+    pub(crate) suspects: Vec<ReportedSuspect>,
 }
 
 #[derive(Debug)]
@@ -81,8 +78,6 @@
     incarnation: Option<u64>,
     /// When the last heartbeat arrived, or when the address became known.
     last_seen_at: Moment,
-    /// Highest number of a crash that the peer reported.
-    last_crash_number: u64,
     last_sequence: u64,
     /// Requests that wait at the peer, each with the hash of its service's name.
     waiting: Vec<(u64, QueueRank)>,
@@ -98,7 +93,6 @@
         Self {
             incarnation: None,
             last_seen_at: now,
-            last_crash_number: 0,
             last_sequence: 0,
             waiting: Vec::new(),
             data_centre: 0,
@@ -119,9 +113,6 @@
     known: HashMap<SocketAddr, Peer>,
     /// Incarnations that sent a goodbye, and when. Kept because other peers may still report their addresses.
     departed: HashMap<SocketAddr, (u64, Moment)>,
-    last_crash_number: u64,
-    /// Crashes that heartbeats report: the number, the fingerprint and how many more heartbeats report it.
-    unreported_crashes: Vec<(u64, Fingerprint, u32)>,
 }
 
 impl Peers {
@@ -139,8 +130,6 @@
             sequence: 0,
             known: HashMap::new(),
             departed: HashMap::new(),
-            last_crash_number: 0,
-            unreported_crashes: Vec::new(),
         };
         peers.add_seeds(seeds);
         peers
@@ -242,13 +231,6 @@
         waiting.filter(goes_before).count()
     }
 
-    /// Queues a report to the peers of a request during which an endpoint crashed.
-    pub(crate) fn report_crash(&mut self, fingerprint: Fingerprint) {
-        self.last_crash_number += 1;
-        self.unreported_crashes
-            .push((self.last_crash_number, fingerprint, CRASH_REPORTS));
-    }
-
     /// Addresses of peers that are not silent. Silent ones are left out because entries that report a dead peer to each
     /// other would never forget it.
     fn active_addresses(&self, now: Moment) -> Vec<SocketAddr> {
@@ -279,18 +261,6 @@
             entry.loads.borrow_mut().forget_peer(incarnation);
         }
     }
-
-    fn take_crash_reports(&mut self) -> Vec<(u64, u64)> {
-        let reported = self.unreported_crashes.iter();
-        let reported = reported
-            .map(|(number, fingerprint, _)| (*number, fingerprint.0))
-            .collect();
-        for (_, _, left) in &mut self.unreported_crashes {
-            *left -= 1;
-        }
-        self.unreported_crashes.retain(|(_, _, left)| *left > 0);
-        reported
-    }
 }
 
 /// What a heartbeat contains.
@@ -381,7 +351,7 @@
             work,
             results: entry.suspicions.borrow_mut().report(),
             waiting: entry.placement_queue.report_waiters(now),
-            crashes: peers.take_crash_reports(),
+            suspects: entry.poison.borrow_mut().report(now),
         };
         (addresses, heartbeat)
     };
@@ -452,7 +422,6 @@
             entry.quotas.borrow_mut().forget_peer(previous);
             entry.loads.borrow_mut().forget_peer(previous);
         }
-        peer.last_crash_number = 0;
         peer.last_sequence = 0;
     }
     if heartbeat.sequence <= peer.last_sequence {
@@ -463,15 +432,14 @@
     peer.data_centre = heartbeat.data_centre;
     peer.reads_store = heartbeat.reads_store;
     peer.is_serving = heartbeat.is_serving;
-    for (number, fingerprint) in heartbeat.crashes {
-        if number > peer.last_crash_number {
-            peer.last_crash_number = number;
-            let fingerprint = Fingerprint(fingerprint);
-            entry.poison.borrow_mut().note_crash(fingerprint, now);
-        }
-    }
     peers.note_waiting(from, &heartbeat.waiting, now);
     drop(peers);
+    for suspect in heartbeat.suspects {
+        let added = entry.poison.borrow_mut().note_peer(suspect, now);
+        if let Some(content) = added {
+            entry.apply_suspect(&content);
+        }
+    }
     let mut suspicions = entry.suspicions.borrow_mut();
     suspicions.note_peer(&heartbeat.results, now);
     drop(suspicions);
--- a/crates/camphorwall-direct/src/placement.rs
+++ b/crates/camphorwall-direct/src/placement.rs
@@ -16,6 +16,7 @@
     entry::Entry,
     loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
     notify::Notify,
+    poison::Content,
 };
 
 /// Share of an engine's KV cache capacity that is reserved for later requests that can be in time. Without it, fewer
@@ -89,6 +90,7 @@
     pub(crate) capacity_tokens: u64,
     pub(crate) forecast: ForecastRun,
     pub(crate) rank: QueueRank,
+    pub(crate) content: Rc<Content>,
     /// Endpoints that have refused the request or failed while running it.
     pub(crate) excluded: Vec<EndpointId>,
     /// Whether its wait has been reported to the peers.
@@ -148,7 +150,7 @@
         self.changes.notify();
     }
 
-    /// Waits for a placement; dropping the future leaves the queue.
+    /// Waits for a placement; `None` if the request is rejected. Dropping the future leaves the queue.
     pub(crate) async fn place(&self, request: PlacementRequest) -> Option<Placement> {
         let (sender, receiver) = oneshot::channel();
         {
@@ -160,6 +162,12 @@
         receiver.await.ok()
     }
 
+    /// Rejects waiting requests.
+    pub(crate) fn reject(&self, is_rejected: impl Fn(&PlacementRequest) -> bool) {
+        let mut waiters = self.waiters.borrow_mut();
+        waiters.retain(|waiter| !is_rejected(&waiter.request));
+    }
+
     /// Number of requests that wait.
     pub(crate) fn waiting(&self) -> usize {
         self.waiters.borrow().len()
--- a/crates/camphorwall-direct/src/placement_tests.rs
+++ b/crates/camphorwall-direct/src/placement_tests.rs
@@ -7,6 +7,7 @@
     lengths::LengthModel,
     loads::{ForecastRun, Run, Work, service_key},
     placement::{Placement, PlacementRequest, QueueRank, ReportedWaiter, run_placement_queue},
+    poison::{Content, Fingerprint},
     testing::{endpoint, entry_with_empty_dialect},
 };
 
@@ -34,6 +35,10 @@
             priority: 1,
             since,
         },
+        content: Rc::new(Content {
+            fingerprint: Fingerprint(1),
+            shared_parts: Vec::new(),
+        }),
         excluded: Vec::new(),
         is_reported: Cell::new(false),
     }
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -62,7 +62,9 @@
         let Some(endpoint) = next_endpoint(entry, admitted, progress) else {
             return Err(progress.give_up(RequestEnd::NoEndpoint, TRANSIENT_RETRY_AFTER));
         };
+        progress.check_harmless(entry, admitted)?;
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(Run::default()));
+        let sent_at = Moment::now();
         progress.begin(admitted, &endpoint.id);
         let can_retry = progress.may_retry(admitted);
         let outcome = if can_retry {
@@ -73,7 +75,7 @@
         let failure = match outcome {
             AttemptOutcome::Answered(answer) => {
                 let is_failure = answer.parts.status.is_server_error();
-                match deliver(entry, admitted, placement, answer).await {
+                match deliver(entry, admitted, placement, answer, sent_at).await {
                     Ok(delivery) if is_failure && can_retry => Some(delivery),
                     Ok(delivery) => return Ok(delivery.finish(admitted)),
                     Err(_) => None,
@@ -168,6 +170,7 @@
     admitted: &Rc<Admitted>,
     placement: Placement,
     answer: Answer,
+    sent_at: Moment,
 ) -> io::Result<Delivery> {
     let Answer {
         mut parts,
@@ -184,7 +187,9 @@
         })?;
     if !parts.status.is_server_error() {
         entry.suspicions.borrow_mut().note_success(&endpoint, now);
-        entry.poison.borrow_mut().note_answer(admitted.fingerprint);
+        let mut poison = entry.poison.borrow_mut();
+        poison.note_begun(&admitted.content, sent_at, now);
+        poison.note_answer(admitted.content.fingerprint, now);
     }
     remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -95,6 +95,7 @@
             left_tokens: 0,
         };
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(run));
+        progress.check_harmless(entry, admitted)?;
         let is_retry = progress.prefills > 0;
         if is_retry && !entry.take_retry(&admitted.service) {
             return Err(progress.give_up(RequestEnd::RetryBudget, CAPACITY_RETRY_AFTER));
@@ -146,12 +147,13 @@
     endpoint: &Endpoint,
     request: http::Request<Bytes>,
 ) -> PrefillOutcome {
+    let sent_at = Moment::now();
     let sent = upstream::send(endpoint.address, request).await;
     let mut answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
             tracing::info!(event = "prefill_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-            return if entry.note_send_error(endpoint, admitted, &error) {
+            return if entry.note_send_error(endpoint, admitted, sent_at, &error) {
                 PrefillOutcome::Failed
             } else {
                 PrefillOutcome::NotSent
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -16,7 +16,7 @@
     entry::{ActiveGuard, BodyGuard, Entry},
     placement::QueueRank,
     plain,
-    poison::Fingerprint,
+    poison::{Block, Content, Fingerprint},
     refusal::Refusal,
     request_log::RequestLog,
     stall::Pauses,
@@ -29,9 +29,6 @@
 /// Maximum size of the body that is read of a request that is refused because of its head.
 const MAX_REFUSED_BODY_BYTES: usize = 256 * 1024;
 
-/// Retry-After of a request that crashed several endpoints.
-const CRASH_RETRY_AFTER: Duration = Duration::from_secs(30);
-
 /// Memory that is reserved for a body without an announced length.
 const UNANNOUNCED_BODY_BYTES: usize = 64 * 1024;
 
@@ -46,7 +43,7 @@
     pub(crate) service: ServiceId,
     pub(crate) service_facts: Service,
     pub(crate) team: Option<Rc<Team>>,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) content: Rc<Content>,
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
     /// Last moment at which an endpoint can begin the request while its caller still waits.
@@ -130,6 +127,11 @@
         u32::try_from(tokens).unwrap_or(u32::MAX / 4)
     }
 
+    /// Why the request must not be sent at present; `None` if it may be.
+    pub(crate) fn block(&self, entry: &Entry) -> Option<Block> {
+        entry.poison.borrow().block(&self.content, Moment::now())
+    }
+
     /// Stage of the endpoints that answer the caller.
     pub(crate) fn stage(&self) -> Stage {
         if self.service_facts.engine.is_some() {
@@ -197,14 +199,12 @@
             RequestEnd::BodyTooLargeOrBroken,
         )
     })?;
-    let fingerprint = fingerprint(&parts.uri, &facts, &body);
+    let content = Rc::new(Content {
+        fingerprint: fingerprint(&parts.uri, &facts, &body),
+        shared_parts: facts.shared_parts.clone(),
+    });
     let now = Moment::now();
-    if entry.poison.borrow().is_blocked(fingerprint, now) {
-        return Err(Refusal::not_run(
-            RequestEnd::CrashesEndpoints,
-            CRASH_RETRY_AFTER,
-        ));
-    }
+    check_harmless(entry, &content)?;
     let service = route.service(entry.random()).cloned();
     let service = service
         .ok_or_else(|| Refusal::not_run(RequestEnd::RouteWithoutService, TRANSIENT_RETRY_AFTER))?;
@@ -214,6 +214,7 @@
     RequestLog::add_elapsed(&request_log.quota_wait, now);
     // The key may have been withdrawn while the request waited for its body or for its team's tokens.
     check_keys_fresh(entry, &route, &configuration)?;
+    check_harmless(entry, &content)?;
     let service_facts = configuration.services.get(&service).cloned();
     let admitted = Admitted {
         method: parts.method,
@@ -229,7 +230,7 @@
         service,
         service_facts: service_facts.unwrap_or(Service { engine: None }),
         team,
-        fingerprint,
+        content,
         request_log: Rc::clone(request_log),
         _body_guard: body_guard,
         _active: active,
@@ -240,6 +241,16 @@
     }
 }
 
+/// Refuses a request with content that crashes endpoints.
+fn check_harmless(entry: &Entry, content: &Content) -> Result<(), Refusal> {
+    let now = Moment::now();
+    let block = entry.poison.borrow().block(content, now);
+    block.map_or(Ok(()), |block| {
+        let retry_after = block.until.since(now);
+        Err(Refusal::not_run(RequestEnd::CrashesEndpoints, retry_after))
+    })
+}
+
 /// Hash of what stays the same when a caller sends a request again: path, key and body.
 fn fingerprint(uri: &Uri, facts: &RequestFacts, body: &[u8]) -> Fingerprint {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -41,6 +41,8 @@
 
 /// A stream whose response head has arrived.
 struct OpenStream {
+    /// When the request was sent to the endpoint.
+    sent_at: Moment,
     placement: Placement,
     parts: http::response::Parts,
     body: AnswerBody,
@@ -101,7 +103,7 @@
         };
         let endpoint = &placement.endpoint;
         tracing::info!(event = "connect_failed", request_id = admitted.id(), endpoint = %endpoint.id, %error);
-        entry.note_send_error(endpoint, admitted, &error);
+        entry.note_send_error(endpoint, admitted, Moment::now(), &error);
         progress.excluded.push(endpoint.id.clone());
         drop(placement);
         placement = find_placement(entry, admitted, progress, last_event_id, cache_until).await?;
@@ -202,7 +204,9 @@
         let stage = admitted.stage();
         let request =
             admitted.endpoint_request(entry, &placement.endpoint, stage, source, last_event_id);
+        progress.check_harmless(entry, admitted)?;
         progress.begin(admitted, &placement.endpoint.id);
+        let sent_at = Moment::now();
         let attempting = attempt_on(connection, entry, admitted, &placement.endpoint, request);
         let outcome = if progress.may_retry(admitted) {
             abandon_if_stalled(entry, admitted, &placement.endpoint, attempting).await
@@ -213,6 +217,7 @@
             AttemptOutcome::Answered(Answer { parts, body }) => {
                 admitted.request_log.note_response_head();
                 return Ok(OpenStream {
+                    sent_at,
                     placement,
                     parts,
                     body,
@@ -307,12 +312,14 @@
         capacity_tokens: limits.kv_capacity_tokens,
         forecast: expected,
         rank,
+        content: Rc::clone(&admitted.content),
         excluded: progress.excluded.clone(),
         is_reported: Cell::new(false),
     };
     let since = Moment::now();
     let mut placement = None;
     for (rank, until) in wait_phases {
+        progress.check_harmless(entry, admitted)?;
         let left = until.since(Moment::now());
         if placement.is_none() && !left.is_zero() {
             let waiting = entry.placement_queue.place(request(rank));
@@ -320,6 +327,7 @@
         }
     }
     RequestLog::add_elapsed(&admitted.request_log.placement_wait, since);
+    progress.check_harmless(entry, admitted)?;
     placement.ok_or_else(|| {
         let retry_after = retry_after_wait(Moment::now().since(since));
         progress.give_up(RequestEnd::NoPlaceInTime, retry_after)
@@ -400,7 +408,8 @@
     last_event_id: Option<u64>,
     /// Events that have reached the caller.
     events: u32,
-    /// Events since the stream was last opened.
+    /// When the request was sent to the present endpoint, and the events since.
+    sent_at: Moment,
     run_events: u32,
     pauses: Pauses,
     /// Whether the stream stalled when no retry was left, so that nothing can be done but wait.
@@ -415,6 +424,7 @@
     opened: OpenStream,
 ) -> Response<BoxedBody> {
     let OpenStream {
+        sent_at,
         placement,
         mut parts,
         body,
@@ -432,6 +442,7 @@
         event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
         events: 0,
+        sent_at,
         run_events: 0,
         pauses: Pauses::new(entry.usual_pause(event_tokens.unwrap_or(0)), Moment::now()),
         waits_out_stall: false,
@@ -463,7 +474,12 @@
                         continue;
                     }
                     placement.advance(events.count.saturating_mul(self.event_tokens));
-                    self.pauses.note_events(events.count, Moment::now());
+                    let now = Moment::now();
+                    self.pauses.note_events(events.count, now);
+                    if self.run_events == 0 {
+                        let mut poison = self.entry.poison.borrow_mut();
+                        poison.note_begun(&self.admitted.content, self.sent_at, now);
+                    }
                     self.events = self.events.saturating_add(events.count);
                     self.run_events = self.run_events.saturating_add(events.count);
                     self.last_event_id = events.last_id.or(self.last_event_id);
@@ -525,7 +541,7 @@
             suspicions.note_success(&placement.endpoint.id, Moment::now());
         }
         let mut poison = self.entry.poison.borrow_mut();
-        poison.note_answer(self.admitted.fingerprint);
+        poison.note_answer(self.admitted.content.fingerprint, Moment::now());
         drop(poison);
         let outcome = if self.status.is_success() {
             RequestEnd::Answered
@@ -562,11 +578,10 @@
             .suspicions
             .borrow_mut()
             .note_failure(&endpoint.id, now);
-        let fingerprint = self.admitted.fingerprint;
         self.entry
-            .check_for_crash(&endpoint, &self.admitted, self.run_events);
+            .check_for_crash(&endpoint, &self.admitted, self.sent_at, self.run_events);
         let can_retry = self.progress.may_retry(&self.admitted);
-        let is_blocked = self.entry.poison.borrow().is_blocked(fingerprint, now);
+        let is_blocked = self.admitted.block(&self.entry).is_some();
         if !can_retry || is_blocked || !self.entry.take_retry(&self.admitted.service) {
             return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
         }
@@ -616,6 +631,7 @@
         }
         let usual = self.entry.usual_pause(self.event_tokens);
         self.pauses = Pauses::new(usual, Moment::now());
+        self.sent_at = opened.sent_at;
         self.run_events = 0;
         self.opened = Some((opened.placement, opened.body));
         Ok(())
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -16,7 +16,7 @@
     BrokeOff,
     /// The caller closed its connection.
     CallerLeft,
-    /// The request crashed several endpoints.
+    /// The request, or others with the same part in their prompts, crashed several endpoints.
     CrashesEndpoints,
     /// The endpoint answered with a failure.
     EndpointFailed,
@@ -85,7 +85,7 @@
                 "the caller closed its connection; the wait times show what it was waiting for"
             }
             Self::CrashesEndpoints => {
-                "endpoints crashed three times while they ran the request; endpoint_crashed names them"
+                "endpoints crashed three times before they began to answer the request, or others with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
             }
             Self::EndpointFailed => "the endpoint answered with a failure, which was forwarded",
             Self::EndpointsFull => {
