Take a stream that ends inside an event, or before its first one, as broken off

Callers saw: half an event, or a 200 with an empty body, at the end of a stream that was framed as whole. Cause: the end of the engine's connection was taken for the end of the stream. That holds for answers with a length or chunks; an answer with neither ends with its connection, and an engine that stops in the middle closes it too. What had come of an event was passed on as the rest. Change: an event stream that ends inside an event, or without any, has been broken off: it goes on at another endpoint where its route allows that, and is cut otherwise. A resumed stream may have no further events. The same cause at a resumption: an answer that is no event stream doesn't continue one.

--- a/crates/camphorwall-direct/src/events.rs
+++ b/crates/camphorwall-direct/src/events.rs
@@ -70,6 +70,11 @@
         Ok(events)
     }
 
+    /// Whether the bytes so far end inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        !self.held.trim_ascii().is_empty()
+    }
+
     /// Takes the bytes of the incomplete event.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.held.split().freeze()
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use camphorwall::{BoxedBody, RequestEnd, stream_body};
 use futures_util::{FutureExt as _, stream};
-use http::StatusCode;
+use http::{StatusCode, header};
 use hyper::Response;
 
 use crate::{
@@ -36,6 +36,9 @@
 /// Retry-After of a request that is larger than the KV cache of any endpoint.
 const OVERSIZED_RETRY_AFTER: Duration = Duration::from_secs(60);
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Maximum number of times that one request is sent again after an endpoint refused it.
 const MAX_REFUSALS: u32 = 3;
 
@@ -403,6 +406,7 @@
     admitted: Admitted,
     progress: Progress,
     status: StatusCode,
+    is_event_stream: bool,
     splitter: EventSplitter,
     event_tokens: u32,
     last_event_id: Option<u64>,
@@ -438,6 +442,7 @@
         admitted,
         progress,
         status: parts.status,
+        is_event_stream: is_event_stream(&parts),
         splitter: EventSplitter::default(),
         event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
@@ -455,6 +460,13 @@
     Response::from_parts(parts, stream_body(chunks))
 }
 
+/// Whether an answer is a stream of events; engines may leave out its type.
+fn is_event_stream(parts: &http::response::Parts) -> bool {
+    let content_type = parts.headers.get(header::CONTENT_TYPE);
+    let has_type = content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    parts.status.is_success() && has_type
+}
+
 impl StreamRelay {
     /// The next complete events; `None` at the regular end of the stream.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
@@ -485,6 +497,13 @@
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
                 }
+                Ok(Ok(None)) if self.has_ended_early() => {
+                    let error =
+                        io::Error::other("it ended inside an event or before the first one");
+                    if let Err(refusal) = self.resume(&error).await {
+                        return Some(Err(self.cut(refusal.reason)));
+                    }
+                }
                 Ok(Ok(None)) => {
                     self.note_complete();
                     self.opened = None;
@@ -519,6 +538,14 @@
         can_resume.then(|| self.admitted.stalled_at(&self.pauses))
     }
 
+    /// Whether a stream that ended was broken off. An answer without an announced length ends with its connection, so its
+    /// framing doesn't show this.
+    fn has_ended_early(&self) -> bool {
+        let resumed_after = self.last_event_id.or(self.admitted.facts.last_event_id);
+        let is_empty = self.run_events == 0 && resumed_after.is_none();
+        self.is_event_stream && (is_empty || self.splitter.is_inside_event())
+    }
+
     fn note_complete(&mut self) {
         let generated = self.events.saturating_mul(self.event_tokens);
         if let Some(estimate) = self.admitted.facts.output_estimate_tokens {
@@ -626,7 +653,7 @@
         );
         let opened = compio::time::timeout(self.admitted.time_left(), opening).await;
         let opened = opened.map_err(|_| Refusal::timed_out())??;
-        if !opened.parts.status.is_success() {
+        if !is_event_stream(&opened.parts) {
             return Err(Refusal::may_have_run(RequestEnd::ResumeFailed));
         }
         let usual = self.entry.usual_pause(self.event_tokens);
