Don't use a KV cache that a prefill engine names in answer to another request

What callers would see: a prefill engine writes an answer once more, and a request goes on from the prompt of another one. Found while looking for what the reports of late answers could hit elsewhere. Cause: only answers that go to callers were checked for the request's id, answers to prefill calls were not. Change: one check for both; such an answer counts as a failed prefill, and prefill_refused says whether the answer was the request's own. Evidence: a_kv_cache_of_another_request_is_not_used failed before (the decode engine was sent the other request's cache) and passes.

--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock::Moment,
     configuration::Endpoint,
+    dialect::AnswerFacts,
     entry::Entry,
     refusal::Refusal,
     request::Admitted,
@@ -133,6 +134,14 @@
     classify(entry, admitted, endpoint, sent_at, sent)
 }
 
+/// Whether an answer belongs to the request; one without an id does, as its connection served nothing else.
+pub(crate) fn is_for_request(facts: &AnswerFacts, admitted: &Admitted) -> bool {
+    match (&facts.request_id, &admitted.facts.request_id) {
+        (Some(answered), Some(sent)) => answered == sent,
+        _ => true,
+    }
+}
+
 fn classify(
     entry: &Rc<Entry>,
     admitted: &Admitted,
@@ -158,10 +167,7 @@
     };
     let now = Moment::now();
     let facts = (entry.dialect.answer_facts)(&answer.parts);
-    let is_for_request = match (&facts.request_id, &admitted.facts.request_id) {
-        (Some(answered), Some(sent)) => answered == sent,
-        _ => true,
-    };
+    let is_for_request = is_for_request(&facts, admitted);
     if facts.has_not_run && is_for_request {
         let is_other_endpoint = answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_other_endpoint {
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -13,7 +13,7 @@
     dialect::KvHandle,
     entry::Entry,
     loads::{Run, Work},
-    outcome::{Progress, note_replaced},
+    outcome::{Progress, is_for_request, note_replaced},
     placement::{Placement, candidates},
     refusal::Refusal,
     request::Admitted,
@@ -161,9 +161,11 @@
         }
     };
     let body = answer.body.collect(MAX_PREFILL_BYTES).await;
+    let facts = (entry.dialect.answer_facts)(&answer.parts);
+    let is_own = is_for_request(&facts, admitted);
     let handle = body.ok().and_then(|body| (entry.dialect.prefilled)(&body));
     match handle {
-        Some(handle) if answer.parts.status.is_success() => {
+        Some(handle) if answer.parts.status.is_success() && is_own => {
             let now = Moment::now();
             entry
                 .suspicions
@@ -177,6 +179,7 @@
                 request_id = admitted.id(),
                 endpoint = %endpoint.id,
                 status = answer.parts.status.as_u16(),
+                is_own,
             );
             if answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
                 note_replaced(entry, endpoint);
