Heed what endpoints say of themselves: that they leave, or want no requests for a time

What callers and operators would see: an endpoint that leaves while the store is away, in doubt or behind gets requests until it is gone; one that turns requests away and says for how long gets them all again at once. Cause: the adapter read neither field; leaving was known from the store alone, and a 503 said nothing to the next request. Change: both are translated in platform/ and kept by start of the endpoint (notices.rs), from every head of an answer: plain, prefill, decode, resumed, freed caches, answers of other requests, not 421. They are looked at in `candidates`, through which every choice goes, and again before a request is written to an open connection, so that a place from before the news is chosen again. Leaving is told to peers, also to those that start. While all endpoints of a service hold off, callers that can't wait are refused at once with the time of the first return, also those in the queue; the others wait and return in the order of the queue, one first and twice as many after each answer. Times are bounded by ten minutes, tables by 4,096 records. request_ended has passed_over and hold_off_wait_ms, so that a request's id leads to endpoint_leaving and endpoint_holds_off.

Evidence: 14 of 22 integration tests fail without the reading of the heads, all pass with it; the others hold what must stay (no time in Retry-After, a new start is used, a late answer). Why it works: the news and the decision are in the same entry, so neither the store nor the peers have to be reached.

--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use camphorwall::{DataCentreId, EndpointId, ServiceId, TeamId};
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
+use xxhash_rust::xxh3::Xxh3;
 
 /// One version of the published configuration.
 #[derive(Debug, Default)]
@@ -172,7 +174,7 @@
 }
 
 /// Part of a model's work that an endpoint does.
-#[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[strum(serialize_all = "snake_case")]
 pub enum Stage {
     /// Prefills prompts.
@@ -183,6 +185,19 @@
     Whole,
 }
 
+/// Identifies one start of an endpoint; all entries derive the same.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub(crate) struct EndpointIncarnation(pub u64);
+
+impl Endpoint {
+    pub(crate) fn incarnation(&self) -> EndpointIncarnation {
+        let mut hash = Xxh3::new();
+        hash.update(self.id.as_str().as_bytes());
+        hash.update(&self.started_ms.to_le_bytes());
+        EndpointIncarnation(hash.digest())
+    }
+}
+
 /// An endpoint as it registered itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Endpoint {
--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -125,6 +125,10 @@
     pub has_not_run: bool,
     /// Whether the answer carries the endpoint's signature.
     pub is_signed: bool,
+    /// Whether the endpoint states that it is about to exit.
+    pub is_leaving: bool,
+    /// Time for which the endpoint wants no requests; a text that gives none is kept for the log.
+    pub retry_after: Option<Result<Duration, Box<str>>>,
 }
 
 /// A page of the store's items.
--- a/crates/camphorwall-direct/src/documentation_tests.rs
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     configuration::RouteKind,
-    metrics::{GaugeValues, Metrics, Phase},
+    metrics::{GaugeValues, Metrics, Notice, Phase},
 };
 
 fn page() -> String {
@@ -83,6 +83,7 @@
     metrics.count_request(None, RequestEnd::Answered);
     metrics.note_phase(RouteKind::Idempotent, Phase::Whole, Duration::ZERO);
     metrics.count_retry(true);
+    metrics.count_notice(Notice::Leaving);
     let text = metrics.text(GaugeValues::default());
     let named = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
     let named = named.filter_map(|line| line.split_whitespace().next());
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -8,26 +8,28 @@
 };
 
 use camphorwall::{BoxedBody, LogRing, ServiceId, TaskGroup, empty_body};
-use http::StatusCode;
+use http::{StatusCode, response};
 use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
 use crate::{
     clock::Moment,
-    configuration::{Endpoint, RouteKind},
+    configuration::{Endpoint, RouteKind, Stage},
     dialect::{Dialect, PromptPart},
     lengths::LengthModel,
     loads::Loads,
-    metrics::{GaugeValues, Metrics},
+    metrics::{GaugeValues, Metrics, Notice},
+    notices::Notices,
     notify::Notify,
     peers::Peers,
     placement::PlacementQueue,
-    poison::{BlockCause, Content, CrashId, Poison},
+    poison::{BlockCause, Content, Poison},
     quota::{Quotas, usable_share},
     registry::Registry,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::Sampler,
     retries::{RetryBounds, RetryBudget},
+    return_queue::{ReturnQueue, returns_at},
     settings::DirectSettings,
     store::{StoreMirror, centre_key},
     suspicion::Suspicions,
@@ -92,6 +94,8 @@
     pub(crate) lengths: RefCell<LengthModel>,
     pub(crate) loads: RefCell<Loads>,
     pub(crate) suspicions: RefCell<Suspicions>,
+    pub(crate) notices: RefCell<Notices>,
+    pub(crate) return_queue: ReturnQueue,
     pub(crate) poison: RefCell<Poison>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placement_queue: PlacementQueue,
@@ -185,6 +189,8 @@
             lengths: RefCell::default(),
             loads: RefCell::default(),
             suspicions: RefCell::default(),
+            notices: RefCell::default(),
+            return_queue: ReturnQueue::default(),
             poison: RefCell::default(),
             peers: RefCell::new(peers),
             placement_queue: PlacementQueue::default(),
@@ -342,6 +348,71 @@
         }
     }
 
+    /// Records what an endpoint says of itself in the head of an answer.
+    pub(crate) fn note_answer_head(&self, endpoint: &Endpoint, parts: &response::Parts) {
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            // Another endpoint answers at this address.
+            return;
+        }
+        let facts = (self.dialect.answer_facts)(parts);
+        let now = Moment::now();
+        let incarnation = endpoint.incarnation();
+        let mut notices = self.notices.borrow_mut();
+        if facts.is_leaving && notices.note_leaving(incarnation, now) {
+            tracing::info!(event = "endpoint_leaving", endpoint = %endpoint.id, status = parts.status.as_u16());
+            self.metrics.count_notice(Notice::Leaving);
+            self.work_changes.notify();
+        }
+        let is_unavailable = parts.status == StatusCode::SERVICE_UNAVAILABLE;
+        match facts.retry_after {
+            Some(Ok(duration)) if is_unavailable && !duration.is_zero() => {
+                let was_held_off = notices.holds_off(incarnation, now);
+                let until = notices.note_hold_off(incarnation, duration, now);
+                if !was_held_off {
+                    tracing::info!(
+                        event = "endpoint_holds_off",
+                        endpoint = %endpoint.id,
+                        retry_after_s = duration.as_secs_f64(),
+                        for_s = until.since(now).as_secs_f64(),
+                    );
+                    self.metrics.count_notice(Notice::HoldOff);
+                }
+                drop(notices);
+                self.reject_hopeless(&endpoint.service);
+            }
+            Some(Err(value)) if is_unavailable => {
+                if notices.note_unreadable_time(incarnation, now) {
+                    tracing::info!(event = "retry_after_unreadable", endpoint = %endpoint.id, value = &*value);
+                    self.metrics.count_notice(Notice::UnreadableTime);
+                }
+            }
+            _ if is_unavailable => {}
+            _ => {
+                notices.note_taken(incarnation, now);
+                drop(notices);
+                self.placement_queue.notify();
+            }
+        }
+    }
+
+    /// Rejects the waiting requests for which no decode endpoint returns in time.
+    fn reject_hopeless(&self, service: &ServiceId) {
+        let now = Moment::now();
+        self.placement_queue.reject(|request| {
+            let excluded = &request.excluded;
+            let returns_at = returns_at(self, service, Stage::Decode, excluded, now);
+            request.service == *service && returns_at.is_some_and(|at| at > request.start_by)
+        });
+    }
+
+    /// Whether a request that was placed at an endpoint may be sent to it.
+    pub(crate) fn may_send(&self, endpoint: &Endpoint) -> bool {
+        let now = Moment::now();
+        let notices = self.notices.borrow();
+        self.registry.borrow().takes_work(endpoint, now)
+            && notices.may_send(endpoint.incarnation(), now)
+    }
+
     /// Checks in the background whether an endpoint that broke off a request after a number of events has crashed. An
     /// endpoint that only lost an answer or reset a connection still accepts new connections.
     pub(crate) fn check_for_crash(
@@ -354,7 +425,7 @@
         let broke_at = Moment::now();
         let entry = Rc::clone(self);
         let (id, address) = (endpoint.id.clone(), endpoint.address);
-        let crash = CrashId::of(endpoint);
+        let crash = endpoint.incarnation();
         let request_log = Rc::clone(&admitted.request_log);
         let content = Rc::clone(&admitted.content);
         self.tasks.spawn(async move {
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod lengths;
 mod loads;
 mod metrics;
+mod notices;
 mod notify;
 mod outcome;
 mod peers;
@@ -26,6 +27,7 @@
 mod request;
 mod request_log;
 mod retries;
+mod return_queue;
 mod run;
 mod settings;
 mod signals;
@@ -52,6 +54,8 @@
 #[cfg(test)]
 mod loads_tests;
 #[cfg(test)]
+mod notices_tests;
+#[cfg(test)]
 mod peers_tests;
 #[cfg(test)]
 mod placement_tests;
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -37,6 +37,11 @@
     phase: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct NoticeLabels {
+    notice: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ResultLabels {
     result: &'static str,
@@ -58,6 +63,15 @@
     Whole,
 }
 
+/// What an endpoint says of itself.
+#[derive(Clone, Copy, Debug, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Notice {
+    Leaving,
+    HoldOff,
+    UnreadableTime,
+}
+
 /// Values of the gauges, read at each scrape.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct GaugeValues {
@@ -77,6 +91,7 @@
     requests: Family<RequestLabels, Counter>,
     phases: Family<PhaseLabels, Histogram>,
     retries: Family<ResultLabels, Counter>,
+    notices: Family<NoticeLabels, Counter>,
     estimate_errors: Histogram,
     configuration_version: Gauge<u64, AtomicU64>,
     keys_proof_age: Gauge<f64, AtomicU64>,
@@ -109,6 +124,7 @@
             requests: Family::default(),
             phases: Family::new_with_constructor(phase_histogram),
             retries: Family::default(),
+            notices: Family::default(),
             // Ratios of actual to estimated tokens, from 1/16 to 16.
             estimate_errors: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             configuration_version: Gauge::default(),
@@ -143,6 +159,11 @@
             "Sends to a further endpoint",
             self.retries.clone(),
         );
+        registry.register(
+            "endpoint_notices",
+            "Endpoints that said in an answer that they leave or want no requests for a time",
+            self.notices.clone(),
+        );
         registry.register(
             "output_estimate_ratio",
             "Generated tokens over the estimate at placement",
@@ -219,6 +240,12 @@
         self.retries.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts what an endpoint said of itself.
+    pub(crate) fn count_notice(&self, notice: Notice) {
+        let notice = notice.into();
+        self.notices.get_or_create(&NoticeLabels { notice }).inc();
+    }
+
     /// Records the ratio of a complete answer's tokens to the estimate.
     pub(crate) fn note_estimate(&self, estimated: u64, generated: u32) {
         let ratio = f64::from(generated) / estimated.max(1) as f64;
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -13,7 +13,7 @@
     entry::Entry,
     refusal::Refusal,
     request::Admitted,
-    upstream::{self, Answer, Connection, SendError},
+    upstream::{Answer, Connection, SendError},
 };
 
 /// The attempts that one request has made so far.
@@ -58,6 +58,14 @@
         self.refusals <= max_refusals && entry.take_retry(&admitted.service)
     }
 
+    /// Lets the last endpoint be chosen again if it has only asked for time.
+    pub(crate) fn readmit_if_held_off(&mut self, entry: &Entry, endpoint: &Endpoint) {
+        let notices = entry.notices.borrow();
+        if notices.holds_off(endpoint.incarnation(), Moment::now()) {
+            self.excluded.retain(|excluded| *excluded != endpoint.id);
+        }
+    }
+
     /// Whether the request may be sent again although its last attempt may have run.
     pub(crate) fn may_retry(&self, admitted: &Admitted) -> bool {
         admitted.route.kind.may_retry() && self.runs < admitted.route.max_attempts
@@ -116,9 +124,10 @@
     endpoint: &Endpoint,
     request: Request<Bytes>,
 ) -> AttemptOutcome {
-    let sent_at = Moment::now();
-    let sent = upstream::send(endpoint.address, request).await;
-    classify(entry, admitted, endpoint, sent_at, sent)
+    match Connection::open(endpoint.address).await {
+        Ok(connection) => attempt_on(connection, entry, admitted, endpoint, request).await,
+        Err(error) => classify(entry, admitted, endpoint, Moment::now(), Err(error)),
+    }
 }
 
 /// Sends a request over an open connection and classifies the head of the answer.
@@ -129,6 +138,10 @@
     endpoint: &Endpoint,
     request: Request<Bytes>,
 ) -> AttemptOutcome {
+    if !entry.may_send(endpoint) {
+        // The endpoint said so while the connection was opened.
+        return AttemptOutcome::NotSent;
+    }
     let sent_at = Moment::now();
     let sent = connection.send(request).await;
     classify(entry, admitted, endpoint, sent_at, sent)
@@ -165,6 +178,7 @@
             };
         }
     };
+    entry.note_answer_head(endpoint, &answer.parts);
     let now = Moment::now();
     let facts = (entry.dialect.answer_facts)(&answer.parts);
     let is_for_request = is_for_request(&facts, admitted);
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -10,6 +10,7 @@
     clock::Moment,
     entry::Entry,
     loads::ReportedWork,
+    notices::ReportedLeaving,
     placement::{QueueRank, ReportedWaiter},
     poison::ReportedSuspect,
     quota::ReportedAccount,
@@ -69,6 +70,8 @@
     pub(crate) results: Vec<ReportedResults>,
     /// The first requests that wait for decode placements.
     pub(crate) waiting: Vec<ReportedWaiter>,
+    /// Endpoints that said that they leave.
+    pub(crate) leaving: Vec<ReportedLeaving>,
     /// Requests that may have crashed endpoints.
     pub(crate) suspects: Vec<ReportedSuspect>,
 }
@@ -351,6 +354,7 @@
             work,
             results: entry.suspicions.borrow_mut().report(),
             waiting: entry.placement_queue.report_waiters(now),
+            leaving: entry.notices.borrow_mut().report(now),
             suspects: entry.poison.borrow_mut().report(now),
         };
         (addresses, heartbeat)
@@ -434,6 +438,14 @@
     peer.is_serving = heartbeat.is_serving;
     peers.note_waiting(from, &heartbeat.waiting, now);
     drop(peers);
+    for leaving in heartbeat.leaving {
+        if entry.notices.borrow_mut().note_peer(leaving, now) {
+            let registry = entry.registry.borrow();
+            let endpoint = registry.named(leaving.incarnation);
+            let endpoint = endpoint.map(|endpoint| tracing::field::display(&endpoint.id));
+            tracing::info!(event = "endpoint_leaving_reported", endpoint, %from);
+        }
+    }
     for suspect in heartbeat.suspects {
         let added = entry.poison.borrow_mut().note_peer(suspect, now);
         if let Some(content) = added {
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -172,6 +172,7 @@
         work: loads.report_all(),
         results: Vec::new(),
         waiting: Vec::new(),
+        leaving: Vec::new(),
         suspects: Vec::new(),
     };
     postcard::to_stdvec(&heartbeat).expect("a heartbeat").len()
@@ -204,6 +205,7 @@
         work: Loads::default().report_all(),
         results: Vec::new(),
         waiting: Vec::new(),
+        leaving: Vec::new(),
         suspects: Vec::new(),
     };
     let from = SocketAddr::from(([10, 0, 0, 2], 7_500));
--- a/crates/camphorwall-direct/src/placement.rs
+++ b/crates/camphorwall-direct/src/placement.rs
@@ -15,6 +15,7 @@
     configuration::{Endpoint, Stage},
     entry::Entry,
     loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
+    notices::Availability,
     notify::Notify,
     poison::Content,
 };
@@ -90,6 +91,8 @@
     pub(crate) capacity_tokens: u64,
     pub(crate) forecast: ForecastRun,
     pub(crate) rank: QueueRank,
+    /// Last moment at which an endpoint can begin the request while its caller still waits.
+    pub(crate) start_by: Moment,
     pub(crate) content: Rc<Content>,
     /// Endpoints that have refused the request or failed while running it.
     pub(crate) excluded: Vec<EndpointId>,
@@ -107,6 +110,8 @@
     entry: Rc<Entry>,
     pub(crate) endpoint: Rc<Endpoint>,
     work: WorkId,
+    /// Whether the endpoint has returned from a hold-off and counts this request.
+    is_trial: bool,
 }
 
 impl Placement {
@@ -114,10 +119,13 @@
     pub(crate) fn new(entry: &Rc<Entry>, endpoint: Rc<Endpoint>, work: Work) -> Self {
         let work = entry.loads.borrow_mut().begin(&endpoint.id, work);
         entry.work_changes.notify();
+        let incarnation = endpoint.incarnation();
+        let is_trial = entry.notices.borrow_mut().begin_trial(incarnation);
         Self {
             entry: Rc::clone(entry),
             endpoint,
             work,
+            is_trial,
         }
     }
 
@@ -129,6 +137,10 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
+        if self.is_trial {
+            let incarnation = self.endpoint.incarnation();
+            self.entry.notices.borrow_mut().end_trial(incarnation);
+        }
         let is_growing = self.entry.loads.borrow_mut().end(self.work);
         if is_growing {
             self.entry.work_changes.notify();
@@ -286,9 +298,13 @@
     let registry = entry.registry.borrow();
     let loads = entry.loads.borrow();
     let suspicions = entry.suspicions.borrow();
+    let notices = entry.notices.borrow();
     let mut endpoints: Vec<_> = registry
         .endpoints(service, stage, now)
-        .filter(|endpoint| !excluded.contains(&endpoint.id))
+        .filter(|endpoint| {
+            notices.availability(endpoint, now) == Availability::Now
+                && !excluded.contains(&endpoint.id)
+        })
         .cloned()
         .collect();
     // Entries that score endpoints alike must not all choose the same one.
--- a/crates/camphorwall-direct/src/placement_tests.rs
+++ b/crates/camphorwall-direct/src/placement_tests.rs
@@ -35,6 +35,7 @@
             priority: 1,
             since,
         },
+        start_by: since + Duration::from_secs(60),
         content: Rc::new(Content {
             fingerprint: Fingerprint(1),
             shared_parts: Vec::new(),
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -19,6 +19,7 @@
     placement::{Placement, candidates},
     refusal::Refusal,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
+    return_queue::{choose_in_turn, retry_after_refusals},
     upstream::{Answer, AnswerBody},
 };
 
@@ -59,7 +60,7 @@
     progress: &mut Progress,
 ) -> Result<Response<BoxedBody>, Refusal> {
     loop {
-        let Some(endpoint) = next_endpoint(entry, admitted, progress) else {
+        let Some(endpoint) = next_endpoint(entry, admitted, progress).await? else {
             return Err(progress.give_up(RequestEnd::NoEndpoint, TRANSIENT_RETRY_AFTER));
         };
         progress.check_harmless(entry, admitted)?;
@@ -82,12 +83,16 @@
                 }
             }
             AttemptOutcome::NotRun => {
+                progress.readmit_if_held_off(entry, &endpoint);
                 if !progress.note_refused(entry, admitted, MAX_REFUSALS) {
-                    return Err(progress.give_up(RequestEnd::EndpointsFull, TRANSIENT_RETRY_AFTER));
+                    let usual = TRANSIENT_RETRY_AFTER;
+                    let retry_after = retry_after_refusals(entry, admitted, progress, usual);
+                    return Err(progress.give_up(RequestEnd::EndpointsFull, retry_after));
                 }
                 continue;
             }
             AttemptOutcome::NotSent => {
+                progress.readmit_if_held_off(entry, &endpoint);
                 progress.uncount_attempt(admitted);
                 continue;
             }
@@ -135,12 +140,19 @@
     })
 }
 
-fn next_endpoint(entry: &Entry, admitted: &Admitted, progress: &Progress) -> Option<Rc<Endpoint>> {
+async fn next_endpoint(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &Progress,
+) -> Result<Option<Rc<Endpoint>>, Refusal> {
     let local = &entry.settings().data_centre;
     let stage = admitted.stage();
-    let (endpoints, candidates) =
-        candidates(entry, &admitted.service, stage, local, &progress.excluded);
-    choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
+    let excluded = &progress.excluded;
+    let choose = || {
+        let (endpoints, candidates) = candidates(entry, &admitted.service, stage, local, excluded);
+        choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
+    };
+    choose_in_turn(entry, admitted, progress, stage, excluded, choose).await
 }
 
 /// An answer that is ready to be passed on to the caller.
--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -10,9 +10,8 @@
 };
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3;
 
-use crate::{clock::Moment, configuration::Endpoint, dialect::PromptPart};
+use crate::{clock::Moment, configuration::EndpointIncarnation, dialect::PromptPart};
 
 /// Number of crashes from which on what they have in common is blocked.
 const MIN_CRASHES: usize = 3;
@@ -40,20 +39,6 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) struct Fingerprint(pub u64);
 
-/// Identifies the crash of one run of an endpoint; all entries that notice the crash derive the same.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub(crate) struct CrashId(pub u64);
-
-impl CrashId {
-    /// The crash of an endpoint; after it, the endpoint starts with another start time.
-    pub(crate) fn of(endpoint: &Endpoint) -> Self {
-        let mut hash = Xxh3::new();
-        hash.update(endpoint.id.to_string().as_bytes());
-        hash.update(&endpoint.started_ms.to_le_bytes());
-        Self(hash.digest())
-    }
-}
-
 /// What a request contains that may crash endpoints.
 #[derive(Clone, Debug)]
 pub(crate) struct Content {
@@ -102,7 +87,8 @@
 /// A suspect as reported to peers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct ReportedSuspect {
-    pub(crate) crash: CrashId,
+    /// The start of the endpoint that ended with the crash.
+    pub(crate) crash: EndpointIncarnation,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) parts: Vec<PromptPart>,
     pub(crate) is_answered: bool,
@@ -112,15 +98,15 @@
     pub(crate) crash_age_ms: u32,
 }
 
-/// Suspects of crashes, by crash and request.
+/// Suspects of crashes, by the start of the endpoint that ended with the crash and by request.
 #[derive(Debug, Default)]
-pub(crate) struct Poison(HashMap<(CrashId, Fingerprint), Suspect>);
+pub(crate) struct Poison(HashMap<(EndpointIncarnation, Fingerprint), Suspect>);
 
 impl Poison {
     /// Records that an endpoint crashed at `crashed_at` before it began to answer a request.
     pub(crate) fn note_crash(
         &mut self,
-        crash: CrashId,
+        crash: EndpointIncarnation,
         content: &Content,
         sent_at: Moment,
         crashed_at: Moment,
@@ -170,7 +156,7 @@
         Some(content)
     }
 
-    fn insert(&mut self, crash: CrashId, fingerprint: Fingerprint, suspect: Suspect) {
+    fn insert(&mut self, crash: EndpointIncarnation, fingerprint: Fingerprint, suspect: Suspect) {
         if self.0.len() >= MAX_RECORDS {
             let oldest = self.0.iter().min_by_key(|(_, other)| other.crashed_at);
             let oldest = oldest.map(|(key, _)| *key);
@@ -216,7 +202,7 @@
         due.sort_by_key(|(_, suspect)| suspect.next_report_at);
         due.truncate(MAX_REPORTS);
         let age_ms = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let report = |(key, suspect): (&(CrashId, Fingerprint), &mut Suspect)| {
+        let report = |(key, suspect): (&(EndpointIncarnation, Fingerprint), &mut Suspect)| {
             suspect.urgent_reports = suspect.urgent_reports.saturating_sub(1);
             if suspect.urgent_reports == 0 {
                 suspect.next_report_at = now + REPORT_PERIOD;
@@ -287,7 +273,7 @@
     }
 
     /// Crashes of which a part is suspected.
-    fn crashes_with(&self, part: PromptPart) -> BTreeMap<CrashId, CrashTimes> {
+    fn crashes_with(&self, part: PromptPart) -> BTreeMap<EndpointIncarnation, CrashTimes> {
         let mut crashes = BTreeMap::new();
         for ((crash, _), suspect) in &self.0 {
             if suspect.parts.contains(&part) {
@@ -308,7 +294,7 @@
     fn inseparable_parts(
         &self,
         part: PromptPart,
-        crashes: &BTreeMap<CrashId, CrashTimes>,
+        crashes: &BTreeMap<EndpointIncarnation, CrashTimes>,
     ) -> Option<Vec<PromptPart>> {
         let with_part = self
             .0
@@ -341,7 +327,7 @@
 
 /// Number of crashes each of whose suspects was sent after the crash before. Several endpoints that crash together, for
 /// another reason, count once: a part that many requests share may be in the requests that begin at all of them.
-fn consecutive_crashes(crashes: &BTreeMap<CrashId, CrashTimes>) -> usize {
+fn consecutive_crashes(crashes: &BTreeMap<EndpointIncarnation, CrashTimes>) -> usize {
     let mut times: Vec<_> = crashes.values().collect();
     times.sort_by_key(|times| times.crashed_at);
     let mut last_counted: Option<Moment> = None;
--- a/crates/camphorwall-direct/src/poison_tests.rs
+++ b/crates/camphorwall-direct/src/poison_tests.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     clock::Moment,
+    configuration::EndpointIncarnation,
     dialect::PromptPart,
-    poison::{BlockCause, Content, CrashId, Fingerprint, Poison, ReportedSuspect},
+    poison::{BlockCause, Content, Fingerprint, Poison, ReportedSuspect},
     testing::at_ms,
 };
 
@@ -34,7 +35,7 @@
 /// Notes crash `number`, which happened 100 ms after the request was sent.
 fn crash(poison: &mut Poison, number: u64, content: &Content, at: Moment) {
     let sent_at = at - Duration::from_millis(100);
-    poison.note_crash(CrashId(number), content, sent_at, at);
+    poison.note_crash(EndpointIncarnation(number), content, sent_at, at);
 }
 
 fn is_blocked(poison: &Poison, content: &Content, at: Moment) -> bool {
@@ -276,7 +277,7 @@
             for request in broken {
                 let sent_at = at_ms(request.left_ms);
                 let poison = &mut entries[request.entry];
-                poison.note_crash(CrashId(crashes), &request.content, sent_at, now);
+                poison.note_crash(EndpointIncarnation(crashes), &request.content, sent_at, now);
             }
             sent.retain(|request| request.endpoint != endpoint);
         }
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -18,8 +18,9 @@
     refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
+    return_queue::choose_in_turn,
     stream::CAPACITY_RETRY_AFTER,
-    upstream,
+    upstream::{self, Connection},
 };
 
 /// Timeout of a prefill call; a prefill usually takes a tenth of it.
@@ -76,20 +77,25 @@
     let prompt_tokens = admitted.prompt_tokens();
     let mut excluded = Vec::new();
     loop {
-        let (endpoints, candidates) = candidates(
-            entry,
-            &admitted.service,
-            Stage::Prefill,
-            &decode.data_centre,
-            &excluded,
-        );
-        let Some(chosen) = choose_prefill(&candidates, prompt_tokens) else {
+        let choose = || {
+            let (endpoints, candidates) = candidates(
+                entry,
+                &admitted.service,
+                Stage::Prefill,
+                &decode.data_centre,
+                &excluded,
+            );
+            let chosen = choose_prefill(&candidates, prompt_tokens);
+            chosen.map(|chosen| Rc::clone(&endpoints[chosen]))
+        };
+        let stage = Stage::Prefill;
+        let choosing = choose_in_turn(entry, admitted, progress, stage, &excluded, choose);
+        let Some(endpoint) = choosing.await? else {
             if excluded.is_empty() {
                 return Ok(None);
             }
             return Err(progress.give_up(RequestEnd::NoPrefill, CAPACITY_RETRY_AFTER));
         };
-        let endpoint = Rc::clone(&endpoints[chosen]);
         let run = Run {
             held_tokens: prompt_tokens,
             left_tokens: 0,
@@ -128,7 +134,11 @@
                 suspicions.note_unresponsive(&endpoint.id, now);
             }
         }
-        excluded.push(endpoint.id.clone());
+        // An endpoint that only asked for time may be asked again after it.
+        let notices = entry.notices.borrow();
+        if !notices.holds_off(endpoint.incarnation(), Moment::now()) {
+            excluded.push(endpoint.id.clone());
+        }
     }
 }
 
@@ -147,8 +157,15 @@
     endpoint: &Endpoint,
     request: http::Request<Bytes>,
 ) -> PrefillOutcome {
+    let connected = Connection::open(endpoint.address).await;
+    if !entry.may_send(endpoint) {
+        return PrefillOutcome::NotSent;
+    }
     let sent_at = Moment::now();
-    let sent = upstream::send(endpoint.address, request).await;
+    let sent = match connected {
+        Ok(connection) => connection.send(request).await,
+        Err(error) => Err(error),
+    };
     let mut answer = match sent {
         Ok(answer) => answer,
         Err(error) => {
@@ -160,6 +177,7 @@
             };
         }
     };
+    entry.note_answer_head(endpoint, &answer.parts);
     let body = answer.body.collect(MAX_PREFILL_BYTES).await;
     let facts = (entry.dialect.answer_facts)(&answer.parts);
     let is_own = is_for_request(&facts, admitted);
@@ -193,9 +211,13 @@
 pub(crate) fn free_kv_cache(entry: &Rc<Entry>, prefilled: Option<Prefilled>) {
     let Some(held) = prefilled else { return };
     let request = (entry.dialect.free_kv)(&held.handle);
+    let task_entry = Rc::clone(entry);
     entry.tasks.spawn(async move {
         // If this fails, the cache expires at its endpoint.
         let freeing = upstream::send(held.endpoint.address, request);
-        let _ = compio::time::timeout(Duration::from_secs(1), freeing).await;
+        let freed = compio::time::timeout(Duration::from_secs(1), freeing).await;
+        if let Ok(Ok(answer)) = freed {
+            task_entry.note_answer_head(&held.endpoint, &answer.parts);
+        }
     });
 }
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::Moment,
-    configuration::{Configuration, Endpoint, Stage},
+    configuration::{Configuration, Endpoint, EndpointIncarnation, Stage},
 };
 
 /// Time after the last failed call to the store in which a missing registration counts as expired rather than as
@@ -217,6 +217,12 @@
         })
     }
 
+    /// The endpoint of which an incarnation is registered.
+    pub(crate) fn named(&self, incarnation: EndpointIncarnation) -> Option<&Endpoint> {
+        let mut endpoints = self.registrations.values().map(|known| &*known.endpoint);
+        endpoints.find(|endpoint| endpoint.incarnation() == incarnation)
+    }
+
     /// Whether any endpoint is known.
     #[must_use]
     pub(crate) fn has_endpoints(&self) -> bool {
--- a/crates/camphorwall-direct/src/request_log.rs
+++ b/crates/camphorwall-direct/src/request_log.rs
@@ -40,6 +40,10 @@
     pub(crate) quota_wait: Cell<Duration>,
     /// Time spent waiting for a decode placement.
     pub(crate) placement_wait: Cell<Duration>,
+    /// Endpoints that were not considered because they leave or asked for no requests.
+    pub(crate) passed_over: Cell<usize>,
+    /// Time spent waiting for endpoints that asked for no requests.
+    pub(crate) hold_off_wait: Cell<Duration>,
     /// Duration of the prefill, and its endpoint.
     pub(crate) prefill: Cell<Duration>,
     pub(crate) prefill_endpoint: RefCell<Option<EndpointId>>,
@@ -67,6 +71,8 @@
             tokens: Cell::default(),
             quota_wait: Cell::default(),
             placement_wait: Cell::default(),
+            passed_over: Cell::default(),
+            hold_off_wait: Cell::default(),
             prefill: Cell::default(),
             prefill_endpoint: RefCell::default(),
             endpoint: RefCell::default(),
@@ -142,6 +148,8 @@
                     tokens = self.tokens.get(),
                     quota_wait_ms = ms(self.quota_wait.get()),
                     place_wait_ms = ms(self.placement_wait.get()),
+                    passed_over = self.passed_over.get(),
+                    hold_off_wait_ms = ms(self.hold_off_wait.get()),
                     prefill_ms = ms(self.prefill.get()),
                     prefill_endpoint = name(&self.prefill_endpoint),
                     endpoint = name(&self.endpoint),
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -22,6 +22,7 @@
     refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
+    return_queue::{holds_off, note_passed_over, retry_after_refusals, returns_at},
     stall::{Pauses, has_stood_still},
     upstream::{Answer, AnswerBody, Connection},
 };
@@ -181,11 +182,12 @@
             connecting.await?
         };
         let endpoint = &connected.placement.endpoint;
-        if entry.registry.borrow().takes_work(endpoint, Moment::now()) {
+        if entry.may_send(endpoint) {
             return Ok(connected);
         }
-        // The endpoint began to drain during the prefill.
+        // The endpoint began to drain or to hold requests off during the prefill.
         progress.excluded.push(endpoint.id.clone());
+        progress.readmit_if_held_off(entry, endpoint);
     }
 }
 
@@ -232,12 +234,18 @@
                 if let Some(held) = prefilled.take() {
                     prefilled = held.retain_after_refusal(entry);
                 }
+                progress.readmit_if_held_off(entry, &placement.endpoint);
                 if !progress.note_refused(entry, admitted, MAX_REFUSALS) {
                     free_kv_cache(entry, prefilled);
-                    return Err(progress.give_up(RequestEnd::EndpointsFull, CAPACITY_RETRY_AFTER));
+                    let usual = CAPACITY_RETRY_AFTER;
+                    let retry_after = retry_after_refusals(entry, admitted, progress, usual);
+                    return Err(progress.give_up(RequestEnd::EndpointsFull, retry_after));
                 }
             }
-            AttemptOutcome::NotSent => progress.uncount_attempt(admitted),
+            AttemptOutcome::NotSent => {
+                progress.readmit_if_held_off(entry, &placement.endpoint);
+                progress.uncount_attempt(admitted);
+            }
             AttemptOutcome::Failed => {
                 prefilled = None;
                 if !progress.may_retry(admitted) || !entry.take_retry(&admitted.service) {
@@ -310,11 +318,14 @@
         cache_until,
         Moment::now(),
     );
+    let last_phase = wait_phases.last();
+    let start_by = last_phase.map_or(admitted.start_by, |(_, until)| *until);
     let request = |rank| PlacementRequest {
         service: admitted.service.clone(),
         capacity_tokens: limits.kv_capacity_tokens,
         forecast: expected,
         rank,
+        start_by,
         content: Rc::clone(&admitted.content),
         excluded: progress.excluded.clone(),
         is_reported: Cell::new(false),
@@ -323,6 +334,7 @@
     let mut placement = None;
     for (rank, until) in wait_phases {
         progress.check_harmless(entry, admitted)?;
+        check_return(entry, admitted, progress, start_by)?;
         let left = until.since(Moment::now());
         if placement.is_none() && !left.is_zero() {
             let waiting = entry.placement_queue.place(request(rank));
@@ -330,13 +342,33 @@
         }
     }
     RequestLog::add_elapsed(&admitted.request_log.placement_wait, since);
+    note_passed_over(entry, admitted, Stage::Decode);
     progress.check_harmless(entry, admitted)?;
+    if placement.is_none() {
+        check_return(entry, admitted, progress, start_by)?;
+    }
     placement.ok_or_else(|| {
         let retry_after = retry_after_wait(Moment::now().since(since));
         progress.give_up(RequestEnd::NoPlaceInTime, retry_after)
     })
 }
 
+/// Refuses a request if all decode endpoints hold requests off until after the last moment at which it can start.
+fn check_return(
+    entry: &Entry,
+    admitted: &Admitted,
+    progress: &Progress,
+    start_by: Moment,
+) -> Result<(), Refusal> {
+    let now = Moment::now();
+    let excluded = &progress.excluded;
+    let returns_at = returns_at(entry, &admitted.service, Stage::Decode, excluded, now);
+    match returns_at {
+        Some(at) if at > start_by => Err(holds_off(progress, at, now)),
+        _ => Ok(()),
+    }
+}
+
 /// Retry-After of a request that waited for a place in vain.
 ///
 /// An overload that has lasted for a time is likely to last as long again. A caller that comes back sooner waits in vain
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -22,6 +22,8 @@
     EndpointFailed,
     /// All endpoints that were tried refused the request.
     EndpointsFull,
+    /// All endpoints asked for no requests, for longer than the caller waits.
+    EndpointsHoldOff,
     /// The head was larger than allowed.
     HeadTooLarge,
     /// The configuration was not proved to be current in time.
@@ -91,6 +93,9 @@
             Self::EndpointsFull => {
                 "each endpoint that was tried answered that it is full; the request has not run"
             }
+            Self::EndpointsHoldOff => {
+                "all endpoints of the service asked for no requests for a time; endpoint_holds_off names them, and Retry-After is when the first is back"
+            }
             Self::HeadTooLarge => "the head is larger than the published limit",
             Self::KeysNotProved => {
                 "the configuration was not proved to be current for longer than a withdrawn key may be accepted; look for store_lost"
