Read heads once, keep the return queue out of the others' way, and free caches of refused requests

A request that is refused after its prefill, since its content is blocked meanwhile or no place is found, left its KV cache to expire, which now is freed.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -8,17 +8,17 @@
 };
 
 use camphorwall::{BoxedBody, LogRing, ServiceId, TaskGroup, empty_body};
-use http::{StatusCode, response};
+use http::StatusCode;
 use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
 use crate::{
     clock::Moment,
-    configuration::{Endpoint, RouteKind, Stage},
+    configuration::{Endpoint, RouteKind},
     dialect::{Dialect, PromptPart},
     lengths::LengthModel,
     loads::Loads,
-    metrics::{GaugeValues, Metrics, Notice},
+    metrics::{GaugeValues, Metrics},
     notices::Notices,
     notify::Notify,
     peers::Peers,
@@ -29,7 +29,7 @@
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::Sampler,
     retries::{RetryBounds, RetryBudget},
-    return_queue::{ReturnQueue, returns_at},
+    return_queue::ReturnQueue,
     settings::DirectSettings,
     store::{StoreMirror, centre_key},
     suspicion::Suspicions,
@@ -348,63 +348,6 @@
         }
     }
 
-    /// Records what an endpoint says of itself in the head of an answer.
-    pub(crate) fn note_answer_head(&self, endpoint: &Endpoint, parts: &response::Parts) {
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            // Another endpoint answers at this address.
-            return;
-        }
-        let facts = (self.dialect.answer_facts)(parts);
-        let now = Moment::now();
-        let incarnation = endpoint.incarnation();
-        let mut notices = self.notices.borrow_mut();
-        if facts.is_leaving && notices.note_leaving(incarnation, now) {
-            tracing::info!(event = "endpoint_leaving", endpoint = %endpoint.id, status = parts.status.as_u16());
-            self.metrics.count_notice(Notice::Leaving);
-            self.work_changes.notify();
-        }
-        let is_unavailable = parts.status == StatusCode::SERVICE_UNAVAILABLE;
-        match facts.retry_after {
-            Some(Ok(duration)) if is_unavailable && !duration.is_zero() => {
-                let was_held_off = notices.holds_off(incarnation, now);
-                let until = notices.note_hold_off(incarnation, duration, now);
-                if !was_held_off {
-                    tracing::info!(
-                        event = "endpoint_holds_off",
-                        endpoint = %endpoint.id,
-                        retry_after_s = duration.as_secs_f64(),
-                        for_s = until.since(now).as_secs_f64(),
-                    );
-                    self.metrics.count_notice(Notice::HoldOff);
-                }
-                drop(notices);
-                self.reject_hopeless(&endpoint.service);
-            }
-            Some(Err(value)) if is_unavailable => {
-                if notices.note_unreadable_time(incarnation, now) {
-                    tracing::info!(event = "retry_after_unreadable", endpoint = %endpoint.id, value = &*value);
-                    self.metrics.count_notice(Notice::UnreadableTime);
-                }
-            }
-            _ if is_unavailable => {}
-            _ => {
-                notices.note_taken(incarnation, now);
-                drop(notices);
-                self.placement_queue.notify();
-            }
-        }
-    }
-
-    /// Rejects the waiting requests for which no decode endpoint returns in time.
-    fn reject_hopeless(&self, service: &ServiceId) {
-        let now = Moment::now();
-        self.placement_queue.reject(|request| {
-            let excluded = &request.excluded;
-            let returns_at = returns_at(self, service, Stage::Decode, excluded, now);
-            request.service == *service && returns_at.is_some_and(|at| at > request.start_by)
-        });
-    }
-
     /// Whether a request that was placed at an endpoint may be sent to it.
     pub(crate) fn may_send(&self, endpoint: &Endpoint) -> bool {
         let now = Moment::now();
--- a/crates/camphorwall-direct/src/notices.rs
+++ b/crates/camphorwall-direct/src/notices.rs
@@ -152,18 +152,28 @@
         !std::mem::replace(&mut record.has_unreadable_time, true)
     }
 
-    /// Records that an endpoint took a request.
-    pub(crate) fn note_taken(&mut self, incarnation: EndpointIncarnation, now: Moment) {
+    /// Records that an endpoint took a request; returns whether it may therefore get more at once than before.
+    pub(crate) fn note_taken(&mut self, incarnation: EndpointIncarnation, now: Moment) -> bool {
         let Some(record) = self.0.get_mut(&incarnation) else {
-            return;
+            return false;
         };
         match &mut record.hold_off {
-            Some(hold_off) if now < hold_off.until => {}
-            Some(hold_off) if hold_off.limit < FULL_RETURN => hold_off.limit *= 2,
-            _ => record.hold_off = None,
+            Some(hold_off) if now >= hold_off.until && hold_off.limit < FULL_RETURN => {
+                hold_off.limit *= 2;
+                true
+            }
+            Some(hold_off) if now >= hold_off.until => record.hold_off.take().is_some(),
+            _ => false,
         }
     }
 
+    /// Whether an endpoint has returned from a hold-off and gets only few requests.
+    #[must_use]
+    pub(crate) fn is_returning(&self, incarnation: EndpointIncarnation) -> bool {
+        let record = self.0.get(&incarnation);
+        record.is_some_and(|record| record.hold_off.is_some())
+    }
+
     /// Counts a request that is about to be sent to an endpoint; returns whether [`Self::end_trial`] must be called at its
     /// end.
     pub(crate) fn begin_trial(&mut self, incarnation: EndpointIncarnation) -> bool {
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -11,8 +11,10 @@
     configuration::Endpoint,
     dialect::AnswerFacts,
     entry::Entry,
+    metrics::Notice,
     refusal::Refusal,
     request::Admitted,
+    return_queue::reject_hopeless,
     upstream::{Answer, Connection, SendError},
 };
 
@@ -147,6 +149,58 @@
     classify(entry, admitted, endpoint, sent_at, sent)
 }
 
+/// Records what an endpoint says of itself in the head of an answer, to whichever request.
+pub(crate) fn note_answer_head(
+    entry: &Entry,
+    endpoint: &Endpoint,
+    status: StatusCode,
+    facts: &AnswerFacts,
+) {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        // Another endpoint answers at this address.
+        return;
+    }
+    let now = Moment::now();
+    let incarnation = endpoint.incarnation();
+    let mut notices = entry.notices.borrow_mut();
+    if facts.is_leaving && notices.note_leaving(incarnation, now) {
+        tracing::info!(event = "endpoint_leaving", endpoint = %endpoint.id, status = status.as_u16());
+        entry.metrics.count_notice(Notice::Leaving);
+        entry.work_changes.notify();
+    }
+    let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+    match &facts.retry_after {
+        Some(Ok(duration)) if is_unavailable && !duration.is_zero() => {
+            let was_held_off = notices.holds_off(incarnation, now);
+            let until = notices.note_hold_off(incarnation, *duration, now);
+            drop(notices);
+            if !was_held_off {
+                tracing::info!(
+                    event = "endpoint_holds_off",
+                    endpoint = %endpoint.id,
+                    retry_after_s = duration.as_secs_f64(),
+                    for_s = until.since(now).as_secs_f64(),
+                );
+                entry.metrics.count_notice(Notice::HoldOff);
+            }
+            reject_hopeless(entry, &endpoint.service);
+        }
+        Some(Err(value)) if is_unavailable => {
+            if notices.note_unreadable_time(incarnation, now) {
+                let value = &**value;
+                tracing::info!(event = "retry_after_unreadable", endpoint = %endpoint.id, value);
+                entry.metrics.count_notice(Notice::UnreadableTime);
+            }
+        }
+        _ if is_unavailable => {}
+        _ => {
+            if notices.note_taken(incarnation, now) {
+                entry.placement_queue.notify();
+            }
+        }
+    }
+}
+
 /// Whether an answer belongs to the request; one without an id does, as its connection served nothing else.
 pub(crate) fn is_for_request(facts: &AnswerFacts, admitted: &Admitted) -> bool {
     match (&facts.request_id, &admitted.facts.request_id) {
@@ -178,9 +232,9 @@
             };
         }
     };
-    entry.note_answer_head(endpoint, &answer.parts);
     let now = Moment::now();
     let facts = (entry.dialect.answer_facts)(&answer.parts);
+    note_answer_head(entry, endpoint, answer.parts.status, &facts);
     let is_for_request = is_for_request(&facts, admitted);
     if facts.has_not_run && is_for_request {
         let is_other_endpoint = answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -13,7 +13,7 @@
     dialect::KvHandle,
     entry::Entry,
     loads::{Run, Work},
-    outcome::{Progress, is_for_request, note_replaced},
+    outcome::{Progress, is_for_request, note_answer_head, note_replaced},
     placement::{Placement, candidates},
     refusal::Refusal,
     request::Admitted,
@@ -177,9 +177,9 @@
             };
         }
     };
-    entry.note_answer_head(endpoint, &answer.parts);
-    let body = answer.body.collect(MAX_PREFILL_BYTES).await;
     let facts = (entry.dialect.answer_facts)(&answer.parts);
+    note_answer_head(entry, endpoint, answer.parts.status, &facts);
+    let body = answer.body.collect(MAX_PREFILL_BYTES).await;
     let is_own = is_for_request(&facts, admitted);
     let handle = body.ok().and_then(|body| (entry.dialect.prefilled)(&body));
     match handle {
@@ -217,7 +217,8 @@
         let freeing = upstream::send(held.endpoint.address, request);
         let freed = compio::time::timeout(Duration::from_secs(1), freeing).await;
         if let Ok(Ok(answer)) = freed {
-            task_entry.note_answer_head(&held.endpoint, &answer.parts);
+            let facts = (task_entry.dialect.answer_facts)(&answer.parts);
+            note_answer_head(&task_entry, &held.endpoint, answer.parts.status, &facts);
         }
     });
 }
--- a/crates/camphorwall-direct/src/return_queue.rs
+++ b/crates/camphorwall-direct/src/return_queue.rs
@@ -16,8 +16,11 @@
     request_log::RequestLog,
 };
 
-/// Longest time between two looks at the endpoints. An endpoint that returns takes further requests after each answer.
-const POLL_PERIOD: Duration = Duration::from_millis(10);
+/// Longest time between two looks at the endpoints while all hold requests off; another one may register meanwhile.
+const HOLD_OFF_POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time between two looks at an endpoint that returns; it takes further requests after each answer.
+const RETURN_POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// Identifies the endpoints that a request waits for.
 type Pool = (ServiceId, Stage);
@@ -88,7 +91,11 @@
     let chosen = loop {
         let number = turn.as_ref().map(|turn| turn.key.2);
         let is_first = entry.return_queue.is_first(&pool, rank, number);
-        if let Some(endpoint) = is_first.then(&choose).flatten() {
+        let is_in_turn = |endpoint: &Rc<Endpoint>| {
+            let notices = entry.notices.borrow();
+            is_first || !notices.is_returning(endpoint.incarnation())
+        };
+        if let Some(endpoint) = choose().filter(is_in_turn) {
             break Some(endpoint);
         }
         let now = Moment::now();
@@ -101,12 +108,8 @@
             return Err(holds_off(progress, returns_at, now));
         }
         turn.get_or_insert_with(|| Turn::join(entry, &pool, rank));
-        compio::time::sleep(
-            returns_at
-                .since(now)
-                .clamp(Duration::from_millis(1), POLL_PERIOD),
-        )
-        .await;
+        let wait = returns_at.since(now).min(HOLD_OFF_POLL_PERIOD);
+        compio::time::sleep(wait.max(RETURN_POLL_PERIOD)).await;
     };
     note_passed_over(entry, admitted, stage);
     if turn.is_some() {
@@ -127,6 +130,15 @@
     returns_at(entry, service, stage, &progress.excluded, now).map_or(usual, |at| at.since(now))
 }
 
+/// Rejects the requests that wait for a decode endpoint if none returns in time for them.
+pub(crate) fn reject_hopeless(entry: &Entry, service: &ServiceId) {
+    let now = Moment::now();
+    entry.placement_queue.reject(|request| {
+        let returns_at = returns_at(entry, service, Stage::Decode, &request.excluded, now);
+        request.service == *service && returns_at.is_some_and(|at| at > request.start_by)
+    });
+}
+
 /// Records how many endpoints were not considered because of what they said of themselves.
 pub(crate) fn note_passed_over(entry: &Entry, admitted: &Admitted, stage: Stage) {
     let now = Moment::now();
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -200,16 +200,25 @@
 ) -> Result<OpenStream, Refusal> {
     let mut prefilled: Option<Prefilled> = None;
     loop {
+        let preparing = prepare(entry, admitted, progress, last_event_id, &mut prefilled);
+        let prepared = preparing.await;
+        let prepared =
+            prepared.and_then(|ready| progress.check_harmless(entry, admitted).map(|()| ready));
         let ConnectedPlacement {
             placement,
             connection,
-        } = prepare(entry, admitted, progress, last_event_id, &mut prefilled).await?;
+        } = match prepared {
+            Ok(ready) => ready,
+            Err(refusal) => {
+                free_kv_cache(entry, prefilled);
+                return Err(refusal);
+            }
+        };
         let source = prefilled.as_ref();
         let source = source.map(|held| (held.endpoint.address, held.handle.clone()));
         let stage = admitted.stage();
         let request =
             admitted.endpoint_request(entry, &placement.endpoint, stage, source, last_event_id);
-        progress.check_harmless(entry, admitted)?;
         progress.begin(admitted, &placement.endpoint.id);
         let sent_at = Moment::now();
         let attempting = attempt_on(connection, entry, admitted, &placement.endpoint, request);
