Send no call that frees a cache to an endpoint that holds requests off

The endpoint has said that it wants nothing for a time, and the cache expires by itself within a second. Media types are compared without regard to case.

--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -210,6 +210,11 @@
 /// Frees a KV cache that no decode endpoint will take.
 pub(crate) fn free_kv_cache(entry: &Rc<Entry>, prefilled: Option<Prefilled>) {
     let Some(held) = prefilled else { return };
+    let incarnation = held.endpoint.incarnation();
+    if entry.notices.borrow().holds_off(incarnation, Moment::now()) {
+        // The endpoint wants no calls; the cache expires by itself.
+        return;
+    }
     let request = (entry.dialect.free_kv)(&held.handle);
     let task_entry = Rc::clone(entry);
     entry.tasks.spawn(async move {
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -504,7 +504,10 @@
 /// Whether an answer is a stream of events; engines may leave out its type.
 fn is_event_stream(parts: &http::response::Parts) -> bool {
     let content_type = parts.headers.get(header::CONTENT_TYPE);
-    let has_type = content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    let has_type = content_type.is_none_or(|value| {
+        let media_type = value.as_bytes().get(..EVENT_STREAM.len());
+        media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case(EVENT_STREAM))
+    });
     parts.status.is_success() && has_type
 }
 
