Keep the order of callers that return to an endpoint, and hold nobody back who can use another

Traced: once an endpoint had returned wholly, those that still waited took it as each looked next, in any order; the queue was asked only while the endpoint was returning, since a request that could not use an endpoint would else have held back the others from it. Now a waiting request carries the endpoints that it can't use, a request goes only if none before it can use its endpoint, and who leaves the queue wakes the next.

--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -70,6 +70,8 @@
 #[cfg(test)]
 mod retries_tests;
 #[cfg(test)]
+mod return_queue_tests;
+#[cfg(test)]
 mod stall_tests;
 #[cfg(test)]
 mod suspicion_tests;
--- a/crates/camphorwall-direct/src/notices.rs
+++ b/crates/camphorwall-direct/src/notices.rs
@@ -167,13 +167,6 @@
         }
     }
 
-    /// Whether an endpoint has returned from a hold-off and gets only few requests.
-    #[must_use]
-    pub(crate) fn is_returning(&self, incarnation: EndpointIncarnation) -> bool {
-        let record = self.0.get(&incarnation);
-        record.is_some_and(|record| record.hold_off.is_some())
-    }
-
     /// Counts a request that is about to be sent to an endpoint; returns whether [`Self::end_trial`] must be called at its
     /// end.
     pub(crate) fn begin_trial(&mut self, incarnation: EndpointIncarnation) -> bool {
--- a/crates/camphorwall-direct/src/return_queue.rs
+++ b/crates/camphorwall-direct/src/return_queue.rs
@@ -1,6 +1,6 @@
 //! Chooses endpoints for plain and prefill calls in turn while all endpoints of a service hold requests off.
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use camphorwall::{EndpointId, RequestEnd, ServiceId};
 
@@ -9,6 +9,7 @@
     configuration::{Endpoint, Stage},
     entry::Entry,
     notices::{Availability, first_return},
+    notify::Notify,
     outcome::Progress,
     placement::QueueRank,
     refusal::Refusal,
@@ -23,54 +24,82 @@
 const RETURN_POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// Identifies the endpoints that a request waits for.
-type Pool = (ServiceId, Stage);
+pub(crate) type Pool = (ServiceId, Stage);
+
+/// Position of a waiting request: its pool, its rank there, and a number for those of equal rank.
+pub(crate) type Position = (Pool, QueueRank, u64);
+
+struct Waiter {
+    /// Endpoints that the request can't use.
+    excluded: Box<[EndpointId]>,
+    wake: Rc<Notify>,
+}
 
 /// Requests that wait for endpoints to return, in the order of their ranks.
 #[derive(Default)]
 pub(crate) struct ReturnQueue {
-    waiting: RefCell<BTreeSet<(Pool, QueueRank, u64)>>,
+    waiting: RefCell<BTreeMap<Position, Waiter>>,
 }
 
 impl ReturnQueue {
-    /// Whether no waiting request goes before one with this rank.
-    fn is_first(&self, pool: &Pool, rank: QueueRank, number: Option<u64>) -> bool {
+    /// Whether no waiting request that can use the endpoint goes before the one at a position.
+    pub(crate) fn is_in_turn(&self, position: &Position, endpoint: &Endpoint) -> bool {
+        let waiting = self.waiting.borrow();
+        let mut before = waiting.range(..position);
+        !before.any(|((pool, _, _), waiter)| {
+            *pool == position.0 && !waiter.excluded.contains(&endpoint.id)
+        })
+    }
+
+    /// Wakes the first request that waits for a pool.
+    fn wake_first(&self, pool: &Pool) {
         let waiting = self.waiting.borrow();
         let first = waiting
             .iter()
-            .find(|(waiting_for, _, _)| waiting_for == pool);
-        first.is_none_or(|(_, first_rank, first_number)| {
-            (rank, number.unwrap_or(u64::MAX)) <= (*first_rank, *first_number)
-        })
+            .find(|((waiting_for, _, _), _)| waiting_for == pool);
+        if let Some((_, waiter)) = first {
+            waiter.wake.notify();
+        }
     }
 }
 
 /// A place in the queue; dropping it leaves the queue.
-struct Turn {
+pub(crate) struct Turn {
     entry: Rc<Entry>,
-    key: (Pool, QueueRank, u64),
+    pub(crate) position: Position,
+    wake: Rc<Notify>,
 }
 
 impl Turn {
-    fn join(entry: &Rc<Entry>, pool: &Pool, rank: QueueRank) -> Self {
+    pub(crate) fn join(
+        entry: &Rc<Entry>,
+        pool: &Pool,
+        rank: QueueRank,
+        excluded: &[EndpointId],
+    ) -> Self {
         let mut waiting = entry.return_queue.waiting.borrow_mut();
-        let last = waiting.iter().map(|(_, _, number)| *number).max();
-        let key = (pool.clone(), rank, last.map_or(0, |last| last + 1));
-        waiting.insert(key.clone());
+        let last = waiting.keys().map(|(_, _, number)| *number).max();
+        let position = (pool.clone(), rank, last.map_or(0, |last| last + 1));
+        let wake = Rc::new(Notify::default());
+        let waiter = Waiter {
+            excluded: excluded.into(),
+            wake: Rc::clone(&wake),
+        };
+        waiting.insert(position.clone(), waiter);
         drop(waiting);
         Self {
             entry: Rc::clone(entry),
-            key,
+            position,
+            wake,
         }
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        self.entry
-            .return_queue
-            .waiting
-            .borrow_mut()
-            .remove(&self.key);
+        let queue = &self.entry.return_queue;
+        queue.waiting.borrow_mut().remove(&self.position);
+        queue.wake_first(&self.position.0);
     }
 }
 
@@ -86,30 +115,32 @@
 ) -> Result<Option<Rc<Endpoint>>, Refusal> {
     let pool = (admitted.service.clone(), stage);
     let rank = admitted.rank(false);
+    // A request that doesn't wait yet goes behind those of its rank that do.
+    let newcomer = (pool.clone(), rank, u64::MAX);
     let mut turn: Option<Turn> = None;
     let since = Moment::now();
     let chosen = loop {
-        let number = turn.as_ref().map(|turn| turn.key.2);
-        let is_first = entry.return_queue.is_first(&pool, rank, number);
-        let is_in_turn = |endpoint: &Rc<Endpoint>| {
-            let notices = entry.notices.borrow();
-            is_first || !notices.is_returning(endpoint.incarnation())
-        };
-        if let Some(endpoint) = choose().filter(is_in_turn) {
-            break Some(endpoint);
+        let position = turn.as_ref().map_or(&newcomer, |turn| &turn.position);
+        let chosen = choose();
+        let is_in_turn =
+            |endpoint: &Rc<Endpoint>| entry.return_queue.is_in_turn(position, endpoint);
+        if chosen.as_ref().is_some_and(is_in_turn) {
+            break chosen;
         }
         let now = Moment::now();
         let returns_at = match returns_at(entry, &admitted.service, stage, excluded, now) {
             Some(at) => at,
-            None if is_first => break None,
+            None if chosen.is_none() => break None,
             None => now,
         };
         if returns_at > admitted.start_by {
             return Err(holds_off(progress, returns_at, now));
         }
-        turn.get_or_insert_with(|| Turn::join(entry, &pool, rank));
+        let turn = turn.get_or_insert_with(|| Turn::join(entry, &pool, rank, excluded));
         let wait = returns_at.since(now).min(HOLD_OFF_POLL_PERIOD);
-        compio::time::sleep(wait.max(RETURN_POLL_PERIOD)).await;
+        let waking = turn.wake.notified();
+        // After a timeout the endpoints are looked at all the same.
+        let _ = compio::time::timeout(wait.max(RETURN_POLL_PERIOD), waking).await;
     };
     note_passed_over(entry, admitted, stage);
     if turn.is_some() {
