--- a/crates/camphorwall-direct/src/notices.rs
+++ b/crates/camphorwall-direct/src/notices.rs
@@ -9,10 +9,10 @@
     configuration::{Endpoint, EndpointIncarnation},
 };
 
-/// Longest time for which an endpoint is left alone at its own word.
+/// Upper limit on the Retry-After of an endpoint.
 const MAX_HOLD_OFF: Duration = Duration::from_secs(600);
 
-/// Time for which the word of an endpoint that leaves is remembered; it exits within seconds or minutes.
+/// Time for which a leaving endpoint is remembered; it exits within seconds or minutes.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
 /// Time after the end of a hold-off in which the endpoint gets only few requests until it has answered some.
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -60,7 +60,7 @@
         self.refusals <= max_refusals && entry.take_retry(&admitted.service)
     }
 
-    /// Lets the last endpoint be chosen again if it has only asked for time.
+    /// Removes an endpoint from the excluded ones if it refused the request with a Retry-After.
     pub(crate) fn readmit_if_held_off(&mut self, entry: &Entry, endpoint: &Endpoint) {
         let notices = entry.notices.borrow();
         if notices.holds_off(endpoint.incarnation(), Moment::now()) {
--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -20,7 +20,7 @@
 /// each further crash doubles it.
 const BLOCK_DURATION: Duration = Duration::from_secs(60);
 
-/// Longest time for which a prompt part is blocked after a crash; crashes are remembered as long.
+/// Upper limit on the block of a prompt part, and retention time of crash records.
 const MAX_BLOCK_DURATION: Duration = Duration::from_secs(600);
 
 /// Number of records at which the oldest one is dropped for a new one.
@@ -251,8 +251,8 @@
 
     /// The block of the prompt parts that explain most crashes, if a request has all of them.
     ///
-    /// Parts that were in the same crashes can't be told apart. A request with only some of them is sent: its answer, or
-    /// another crash, shows which one is the cause.
+    /// Parts with the same crashes are equally likely to be the cause. A request with only some of them is sent: its answer
+    /// clears them, and a crash incriminates them.
     fn part_block(&self, parts: &[PromptPart], now: Moment) -> Option<Block> {
         let blocks = parts.iter().filter_map(|part| {
             let crashes = self.crashes_with(*part);
--- a/crates/camphorwall-direct/src/return_queue.rs
+++ b/crates/camphorwall-direct/src/return_queue.rs
@@ -17,10 +17,10 @@
     request_log::RequestLog,
 };
 
-/// Longest time between two looks at the endpoints while all hold requests off; another one may register meanwhile.
+/// Longest polling interval while all endpoints hold requests off; a new endpoint may register meanwhile.
 const HOLD_OFF_POLL_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time between two looks at an endpoint that returns; it takes further requests after each answer.
+/// Polling interval once an endpoint accepts requests again; its limit rises with each answer.
 const RETURN_POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// Identifies the endpoints that a request waits for.
