Log bytes and time of large answers of the store, and how much of an unfinished one has arrived

The logs of the incident of large configurations couldn't tell its hypotheses apart: no line had the size of a read, its time, or how much had arrived when it was given up.

Now an answer of more than 32 KiB is logged with bytes and time, a configuration with the time of its parse, and an unfinished answer with the bytes that had arrived of those announced. No decision is changed.

--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -1,22 +1,20 @@
 //! Follows the changes of the configuration and of the endpoints' registrations, from the store or from an entry that
 //! reads it.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use camphorwall::EndpointId;
-use http::{Request, StatusCode};
 
 use super::{
+    call::{StoreError, call},
     readers::{Source, source},
     relay,
 };
 use crate::{
-    clock::Moment,
+    clock::{Moment, processor_time},
     dialect::{Changes, Page, ReadFreshness, StoreItem},
     entry::Entry,
     registry::EndpointChange,
-    upstream,
 };
 
 /// How long the store may hold a call that waits for changes. Each answer renews the proof that the configuration in
@@ -45,28 +43,6 @@
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Maximum size of an answer of the store that is read.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
-/// Why a call to the store failed.
-pub(super) enum StoreError {
-    /// The store has discarded the changes since the revision.
-    HistoryDiscarded,
-    Failed(String),
-}
-
-impl From<upstream::SendError> for StoreError {
-    fn from(error: upstream::SendError) -> Self {
-        Self::Failed(error.to_string())
-    }
-}
-
-impl From<io::Error> for StoreError {
-    fn from(error: io::Error) -> Self {
-        Self::Failed(error.to_string())
-    }
-}
-
 /// Result of a list, a watch or a call to a reader.
 pub(super) struct StoreUpdate {
     /// Revision from which the next call continues.
@@ -310,25 +286,9 @@
     Err(StoreError::Failed(error))
 }
 
-async fn call(store: SocketAddr, path: &str, timeout: Duration) -> Result<Bytes, StoreError> {
-    let request = Request::get(path)
-        .header(http::header::HOST, store.to_string())
-        .body(Bytes::new())
-        .map_err(|error| StoreError::Failed(error.to_string()))?;
-    let calling = async {
-        let mut answer = upstream::send(store, request).await?;
-        match answer.parts.status {
-            StatusCode::OK => Ok(answer.body.collect(MAX_ANSWER_BYTES).await?),
-            StatusCode::GONE => Err(StoreError::HistoryDiscarded),
-            status => Err(StoreError::Failed(format!("the store answered {status}"))),
-        }
-    };
-    let timed = compio::time::timeout(timeout, calling).await;
-    timed.map_err(|_| StoreError::Failed("the store gave no answer in time".into()))?
-}
-
 fn apply_configuration(entry: &Entry, item: &StoreItem) {
     let Some(value) = &item.value else { return };
+    let (began_at, processor_before) = (Moment::now(), processor_time());
     let read = (entry.dialect.store.configuration)(&item.key, value);
     if read.is_some() {
         entry.mirror.borrow_mut().note_configuration(item.revision);
@@ -341,7 +301,17 @@
                 .registry
                 .borrow_mut()
                 .apply_configuration(configuration);
-            tracing::info!(event = "configuration_read", version, in_force = is_newer);
+            tracing::info!(
+                event = "configuration_read",
+                version,
+                in_force = is_newer,
+                bytes = value.len(),
+                parse_ms = Moment::now().since(began_at).as_millis(),
+                parse_processor_ms = processor_time()
+                    .saturating_sub(processor_before)
+                    .as_secs_f64()
+                    * 1e3,
+            );
         }
         Some(Err(error)) => {
             tracing::warn!(event = "configuration_unreadable", key = &*item.key, error);
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps the configuration and the endpoints' registrations up to date. A few entries of each data centre read the
 //! configuration store, and the others follow these.
 
+mod call;
 mod follow;
 mod mirror;
 mod readers;
