Put no time limit on the whole of an answer of the store

Callers of small entries got 503, and 404 for routes that were there, for as long as a large configuration stayed the newest: the entries never took it in.

Cause: each call had 0.9 s for its whole answer, also for 1.15 MB over a link of 10 Mbit/s, which take 0.92 s. The read was cut with nine tenths of the bytes received, began anew and was cut again. The class of fault: a fixed time limit over an amount that grows, with a repeat that begins from nothing.

Evidence: 136 of 153 reads that were given up had 1,032,116 to 1,064,884 of 1,154,985 bytes. The test `a_configuration_that_takes_longer_than_a_second_to_transfer_comes_into_force` failed before.

Change: a call has a limit until the head of its answer, and one on the silence between two parts of the body. An answer that goes on arriving is read to its end, however large it is, while a dead connection is still noticed after 0.9 s.

--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -1,9 +1,9 @@
 //! Calls to the store and to the entries that read it.
 
-use std::{cell::Cell, io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 
 use crate::{clock::Moment, upstream};
 
@@ -32,64 +32,70 @@
     }
 }
 
-/// How much of an answer has arrived.
-#[derive(Default)]
-struct Progress {
-    received_bytes: Cell<usize>,
-    /// Size that the head announced.
-    announced_bytes: Cell<Option<usize>>,
+/// Time limits of a call. There is none for the whole answer, since its size grows with the fleet and the configuration:
+/// an answer that takes longer than any fixed time would be requested anew for ever.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallTimeouts {
+    /// Maximum time until the head of the answer, the wait for changes included.
+    pub(super) head: Duration,
+    /// Maximum time without further bytes of the body.
+    pub(super) silence: Duration,
 }
 
 /// Calls the store, or an entry that reads it, and returns the body of the answer.
 pub(super) async fn call(
     store: SocketAddr,
     path: &str,
-    timeout: Duration,
+    timeouts: CallTimeouts,
 ) -> Result<Bytes, StoreError> {
     let began_at = Moment::now();
-    let progress = Progress::default();
-    let timed = compio::time::timeout(timeout, read(store, path, &progress)).await;
-    let elapsed_ms = Moment::now().since(began_at).as_millis();
-    let body = timed.map_err(|_| {
-        StoreError::Failed(format!(
-            "no complete answer from {store} within {elapsed_ms} ms: {} of {:?} bytes have arrived",
-            progress.received_bytes.get(),
-            progress.announced_bytes.get(),
-        ))
-    })??;
+    let mut answer = answer_head(store, path, timeouts.head).await?;
+    let announced = announced_bytes(&answer.parts.headers);
+    let mut body = BytesMut::new();
+    loop {
+        let next = compio::time::timeout(timeouts.silence, answer.body.next()).await;
+        let next = next.map_err(|_| {
+            let (received, silence) = (body.len(), timeouts.silence);
+            StoreError::Failed(format!(
+                "the answer of {store} stopped after {received} of {announced:?} bytes: nothing for {silence:?}"
+            ))
+        })?;
+        let Some(data) = next? else { break };
+        body.extend_from_slice(&data);
+        if body.len() > MAX_ANSWER_BYTES {
+            let error = format!("the answer of {store} is larger than {MAX_ANSWER_BYTES} bytes");
+            return Err(StoreError::Failed(error));
+        }
+    }
     if body.len() > LOGGED_ANSWER_BYTES {
-        tracing::info!(
-            event = "large_answer_read",
-            from = %store,
-            bytes = body.len(),
-            elapsed_ms,
-        );
+        let elapsed_ms = Moment::now().since(began_at).as_millis();
+        tracing::info!(event = "large_answer_read", from = %store, bytes = body.len(), elapsed_ms);
     }
-    Ok(body)
+    Ok(body.freeze())
 }
 
-async fn read(store: SocketAddr, path: &str, progress: &Progress) -> Result<Bytes, StoreError> {
+/// Sends a call and returns its answer once the head of a successful one has arrived.
+async fn answer_head(
+    store: SocketAddr,
+    path: &str,
+    timeout: Duration,
+) -> Result<upstream::Answer, StoreError> {
     let request = Request::get(path)
         .header(header::HOST, store.to_string())
         .body(Bytes::new())
         .map_err(|error| StoreError::Failed(error.to_string()))?;
-    let mut answer = upstream::send(store, request).await?;
+    let answer = compio::time::timeout(timeout, upstream::send(store, request)).await;
+    let answer = answer
+        .map_err(|_| StoreError::Failed(format!("no answer of {store} within {timeout:?}")))??;
     match answer.parts.status {
-        StatusCode::OK => {}
-        StatusCode::GONE => return Err(StoreError::HistoryDiscarded),
-        status => return Err(StoreError::Failed(format!("the store answered {status}"))),
-    }
-    let length = answer.parts.headers.get(header::CONTENT_LENGTH);
-    let announced = length.and_then(|value| value.to_str().ok()?.parse().ok());
-    progress.announced_bytes.set(announced);
-    let mut body = BytesMut::new();
-    while let Some(data) = answer.body.next().await? {
-        body.extend_from_slice(&data);
-        progress.received_bytes.set(body.len());
-        if body.len() > MAX_ANSWER_BYTES {
-            let error = format!("the answer is larger than {MAX_ANSWER_BYTES} bytes");
-            return Err(StoreError::Failed(error));
-        }
+        StatusCode::OK => Ok(answer),
+        StatusCode::GONE => Err(StoreError::HistoryDiscarded),
+        status => Err(StoreError::Failed(format!("{store} answered {status}"))),
     }
-    Ok(body.freeze())
+}
+
+/// Size of a body that a head announces.
+fn announced_bytes(headers: &HeaderMap) -> Option<usize> {
+    let length = headers.get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
 }
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -3,10 +3,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use camphorwall::EndpointId;
 
 use super::{
-    call::{StoreError, call},
+    call::{CallTimeouts, StoreError, call},
     readers::{Source, source},
     relay,
 };
@@ -24,7 +25,7 @@
 /// Pause after changes, so that several in quick succession arrive in one answer.
 const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 
-/// Timeout of the store's own work on a call, beyond the wait for changes.
+/// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Age above which a proof is stale. The next call then doesn't wait for changes, so that one lost call delays the next
@@ -34,7 +35,8 @@
 /// Wait for changes of a call that should be answered at once.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
-/// Timeout of a reader's own work on a follower's call, beyond the wait for changes.
+/// Timeout of a reader's own work on a follower's call, beyond the wait for changes, and of each further part of its
+/// answer.
 const READER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time for which this entry doesn't follow a reader that failed to answer it.
@@ -192,7 +194,7 @@
     let mut first_revision = None;
     loop {
         let path = (store.list_path)(prefix, keys.last().map(AsRef::as_ref), freshness);
-        let body = call(entry.settings().store_address, &path, ANSWER_TIMEOUT).await?;
+        let body = call_store(entry, &path, Duration::ZERO).await?;
         let page: Page = (store.page)(&body).map_err(StoreError::Failed)?;
         let revision = *first_revision.get_or_insert(page.revision);
         for item in page.items {
@@ -211,8 +213,7 @@
     let sent_at = Moment::now();
     let wait = next_wait(entry);
     let path = (store.watch_path)("", after, wait);
-    let timeout = wait + ANSWER_TIMEOUT;
-    let body = call(entry.settings().store_address, &path, timeout).await?;
+    let body = call_store(entry, &path, wait).await?;
     let changes: Changes = (store.changes)(&body).map_err(StoreError::Failed)?;
     for item in &changes.items {
         if item.key.starts_with(store.endpoints_prefix) {
@@ -237,7 +238,11 @@
     let sent_at = Moment::now();
     let wait = next_wait(entry);
     let path = relay::path(after, wait);
-    let body = call(reader, &path, wait + READER_TIMEOUT).await?;
+    let timeouts = CallTimeouts {
+        head: wait + READER_TIMEOUT,
+        silence: READER_TIMEOUT,
+    };
+    let body = call(reader, &path, timeouts).await?;
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body).map_err(|error| StoreError::Failed(error.to_string()))?;
     let received_at = Moment::now();
@@ -286,6 +291,15 @@
     Err(StoreError::Failed(error))
 }
 
+/// Calls the store, which may hold the call for a time.
+async fn call_store(entry: &Entry, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+    let timeouts = CallTimeouts {
+        head: wait + ANSWER_TIMEOUT,
+        silence: ANSWER_TIMEOUT,
+    };
+    call(entry.settings().store_address, path, timeouts).await
+}
+
 fn apply_configuration(entry: &Entry, item: &StoreItem) {
     let Some(value) = &item.value else { return };
     let (began_at, processor_before) = (Moment::now(), processor_time());
