Read configurations in a task of their own

While an entry read a large configuration it noticed no leaving endpoint and renewed no proof for its keys, so that callers were sent to endpoints that left, and refused once the proof was too old. A reader's watch carried each version whole, also those that were replaced by then.

Cause: one loop did everything in turn, so small and urgent knowledge waited behind large bytes.

Change: `ConfigurationTracker` says whether there is a newer configuration than the one that was read. A watch whose answer is larger than 64 KiB is not read on: a task of its own reads the newest configuration alone, and the loop watches the endpoints meanwhile. Readers tell their followers at once that a configuration has changed, and since when its keys are the same, so that the proof for keys doesn't wait for it either. Followers read the newest version straight away instead of a copy that may be older first. The metric `configuration_outdated_seconds` tells how long a newer configuration has been known.

--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -162,6 +162,17 @@
 }
 
 impl Configuration {
+    /// Whether callers' keys belong to the same teams as in another configuration.
+    pub(crate) fn has_same_keys(&self, other: &Self) -> bool {
+        let is_same = |(key, team): (&Box<str>, &Rc<Team>)| {
+            let other = other.keys.get(key);
+            other.is_some_and(|other| other.name == team.name)
+        };
+        self.has_teams == other.has_teams
+            && self.keys.len() == other.keys.len()
+            && self.keys.iter().all(is_same)
+    }
+
     /// The route of a request: of the routes of its host, the one with the longest prefix of its path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -30,15 +30,6 @@
 /// Parses a configuration from an item of the store; `None` for an item that contains none.
 pub type ReadConfiguration = fn(key: &str, value: &[u8]) -> Option<Result<Configuration, String>>;
 
-/// How recent a read from the store must be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReadFreshness {
-    /// It contains every write that the store acknowledged before.
-    Latest,
-    /// It may be seconds old. Such a read costs the store less.
-    MayBeStale,
-}
-
 /// Functions of the adapter for the configuration store.
 #[derive(Clone, Copy)]
 pub struct StoreDialect {
@@ -47,7 +38,7 @@
     /// Prefix of the keys of endpoints' registrations.
     pub endpoints_prefix: &'static str,
     /// Builds the path and query that list the items with a key prefix, after a key.
-    pub list_path: fn(prefix: &str, after: Option<&str>, freshness: ReadFreshness) -> String,
+    pub list_path: fn(prefix: &str, after: Option<&str>) -> String,
     /// Builds the path and query that wait for changes with a key prefix, after a revision.
     pub watch_path: fn(prefix: &str, after: u64, wait: Duration) -> String,
     /// Parses a page of a list.
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -31,7 +31,7 @@
     retries::{RetryBounds, RetryBudget},
     return_queue::ReturnQueue,
     settings::DirectSettings,
-    store::{StoreMirror, centre_key},
+    store::{ConfigurationTracker, StoreMirror, centre_key},
     suspicion::Suspicions,
     upstream::{Connection, SendError},
 };
@@ -85,6 +85,11 @@
     body_bytes: Cell<usize>,
     pub(crate) dialect: Dialect,
     pub(crate) registry: RefCell<Registry>,
+    pub(crate) tracker: RefCell<ConfigurationTracker>,
+    /// Notified when a newer configuration should be read.
+    pub(crate) configuration_wanted: Notify,
+    /// Notified when a configuration has been read.
+    pub(crate) configuration_read: Notify,
     /// Copy of the store's registrations for the entries that follow this one.
     pub(crate) mirror: RefCell<StoreMirror>,
     /// Whether this entry reads the store itself.
@@ -182,6 +187,9 @@
             body_bytes: Cell::new(0),
             dialect,
             registry: RefCell::default(),
+            tracker: RefCell::default(),
+            configuration_wanted: Notify::default(),
+            configuration_read: Notify::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
             quotas: RefCell::default(),
@@ -483,6 +491,7 @@
         self.metrics.response(GaugeValues {
             configuration_version: configuration.map_or(0, |current| current.version),
             keys_proof_age: registry.proof_age(now),
+            configuration_outdated: self.tracker.borrow().outdated_for(now),
             active: self.active_requests.get(),
             waiting: self.placement_queue.waiting(),
             peers_known: peers.count() - 1,
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -84,7 +84,7 @@
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
     AnswerFacts, Changes, Dialect, ForwardingFacts, KvHandle, Page, PromptPart, ReadConfiguration,
-    ReadFreshness, RequestFacts, StoreDialect, StoreItem,
+    RequestFacts, StoreDialect, StoreItem,
 };
 pub use run::{ControlCommand, StartError, run};
 pub use settings::{Bounds, DirectSettings};
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -77,6 +77,7 @@
 pub(crate) struct GaugeValues {
     pub(crate) configuration_version: u64,
     pub(crate) keys_proof_age: Option<Duration>,
+    pub(crate) configuration_outdated: Option<Duration>,
     pub(crate) active: usize,
     pub(crate) waiting: usize,
     pub(crate) peers_known: usize,
@@ -95,6 +96,7 @@
     estimate_errors: Histogram,
     configuration_version: Gauge<u64, AtomicU64>,
     keys_proof_age: Gauge<f64, AtomicU64>,
+    configuration_outdated: Gauge<f64, AtomicU64>,
     active: Gauge<u64, AtomicU64>,
     waiting: Gauge<u64, AtomicU64>,
     peers_known: Gauge<u64, AtomicU64>,
@@ -129,6 +131,7 @@
             estimate_errors: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             configuration_version: Gauge::default(),
             keys_proof_age: Gauge::default(),
+            configuration_outdated: Gauge::default(),
             active: Gauge::default(),
             waiting: Gauge::default(),
             peers_known: Gauge::default(),
@@ -208,6 +211,11 @@
             "Age of the proof that the configuration is the newest, -1 for none",
             self.keys_proof_age.clone(),
         );
+        registry.register(
+            "configuration_outdated_seconds",
+            "Time since the first sign of a newer configuration that has not been read yet, 0 if there is none",
+            self.configuration_outdated.clone(),
+        );
     }
 
     /// Counts the end of a request.
@@ -257,6 +265,8 @@
         self.configuration_version.set(gauges.configuration_version);
         let proof_age = gauges.keys_proof_age.map_or(-1.0, |age| age.as_secs_f64());
         self.keys_proof_age.set(proof_age);
+        let outdated = gauges.configuration_outdated.unwrap_or_default();
+        self.configuration_outdated.set(outdated.as_secs_f64());
         self.active.set(gauges.active as u64);
         self.waiting.set(gauges.waiting as u64);
         self.peers_known.set(gauges.peers_known as u64);
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -30,6 +30,9 @@
 pub(crate) struct Registry {
     configuration: Option<Rc<Configuration>>,
     proved_at: Option<Moment>,
+    /// Moment up to which no key is known to have been withdrawn. Later than `proved_at` if a newer configuration is known
+    /// to have the same keys.
+    keys_proved_at: Option<Moment>,
     registrations: HashMap<EndpointId, Registration>,
     /// Revisions of removals, so that a page of an older list doesn't bring an endpoint back.
     removed_at: HashMap<EndpointId, u64>,
@@ -73,13 +76,19 @@
     /// Records that the configuration in force was the store's newest at `moment` or later.
     pub(crate) fn prove(&mut self, moment: Moment) {
         self.proved_at = self.proved_at.max(Some(moment));
+        self.prove_keys(moment);
+    }
+
+    /// Records that the keys of the configuration in force were those of the store's newest one at `moment` or later.
+    pub(crate) fn prove_keys(&mut self, moment: Moment) {
+        self.keys_proved_at = self.keys_proved_at.max(Some(moment));
     }
 
     /// Whether keys may be trusted: a key must not be served once the bound has passed since its withdrawal.
     #[must_use]
     pub(crate) fn keys_are_fresh(&self, now: Moment, key_withdrawal: Duration) -> bool {
         let limit = key_withdrawal.saturating_sub(WITHDRAWAL_MARGIN);
-        self.proved_at
+        self.keys_proved_at
             .is_some_and(|proved_at| now.since(proved_at) < limit)
     }
 
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode, header};
+use strum::Display;
 
 use crate::{clock::Moment, upstream};
 
@@ -14,9 +15,12 @@
 const LOGGED_ANSWER_BYTES: usize = 32 * 1024;
 
 /// Why a call to the store failed.
+#[derive(Debug, Display)]
 pub(super) enum StoreError {
     /// The store has discarded the changes since the revision.
+    #[strum(to_string = "the store has discarded these changes")]
     HistoryDiscarded,
+    #[strum(to_string = "{0}")]
     Failed(String),
 }
 
@@ -42,17 +46,30 @@
     pub(super) silence: Duration,
 }
 
-/// Calls the store, or an entry that reads it, and returns the body of the answer.
+/// Body of an answer, or its beginning if it is larger than the call allows.
+pub(super) struct CallBody {
+    pub(super) bytes: Bytes,
+    pub(super) is_complete: bool,
+}
+
+/// Calls the store, or an entry that reads it, and returns the body of the answer. Reads no further than `max_bytes`.
 pub(super) async fn call(
     store: SocketAddr,
     path: &str,
     timeouts: CallTimeouts,
-) -> Result<Bytes, StoreError> {
+    max_bytes: usize,
+) -> Result<CallBody, StoreError> {
     let began_at = Moment::now();
     let mut answer = answer_head(store, path, timeouts.head).await?;
     let announced = announced_bytes(&answer.parts.headers);
     let mut body = BytesMut::new();
     loop {
+        if body.len().max(announced.unwrap_or(0)) > max_bytes {
+            return Ok(CallBody {
+                bytes: body.freeze(),
+                is_complete: false,
+            });
+        }
         let next = compio::time::timeout(timeouts.silence, answer.body.next()).await;
         let next = next.map_err(|_| {
             let (received, silence) = (body.len(), timeouts.silence);
@@ -71,7 +88,10 @@
         let elapsed_ms = Moment::now().since(began_at).as_millis();
         tracing::info!(event = "large_answer_read", from = %store, bytes = body.len(), elapsed_ms);
     }
-    Ok(body.freeze())
+    Ok(CallBody {
+        bytes: body.freeze(),
+        is_complete: true,
+    })
 }
 
 /// Sends a call and returns its answer once the head of a successful one has arrived.
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -1,19 +1,20 @@
 //! Follows the changes of the configuration and of the endpoints' registrations, from the store or from an entry that
 //! reads it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use camphorwall::EndpointId;
+use futures_util::future::{self, Either};
 
 use super::{
-    call::{CallTimeouts, StoreError, call},
+    call::{CallBody, CallTimeouts, StoreError, call},
+    configuration::apply_configuration,
     readers::{Source, source},
-    relay,
+    relay::{self, ms},
 };
 use crate::{
-    clock::{Moment, processor_time},
-    dialect::{Changes, Page, ReadFreshness, StoreItem},
+    clock::Moment,
+    dialect::{Changes, Page, StoreItem},
     entry::Entry,
     registry::EndpointChange,
 };
@@ -42,15 +43,18 @@
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
 
+/// Size of an answer to a watch above which the rest of it is not read.
+const MAX_WATCH_BYTES: usize = 64 * 1024;
+
 /// Pause after a failed call to the store.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Result of a list, a watch or a call to a reader.
 pub(super) struct StoreUpdate {
-    /// Revision from which the next call continues.
+    /// Revision up to which all changes of endpoints are known.
     pub(super) revision: u64,
-    /// Moment up to which all changes are known.
-    pub(super) proved_at: Moment,
+    /// Moment up to which all changes of endpoints are known.
+    pub(super) known_to: Moment,
 }
 
 /// Moment up to which a watch proves that all changes are known. The store answers without changes only at the end of
@@ -85,21 +89,22 @@
 /// How long the next call may wait for a change: not at all while the proof is stale.
 fn next_wait(entry: &Entry) -> Duration {
     let proof_age = entry.registry.borrow().proof_age(Moment::now());
-    if proof_age.is_some_and(|age| age <= STALE_PROOF_AGE) {
+    let is_fresh = proof_age.is_some_and(|age| age <= STALE_PROOF_AGE);
+    if is_fresh || entry.tracker.borrow().needs_read() {
         WATCH_WAIT
     } else {
         NO_WAIT
     }
 }
 
-/// Follows the configuration and the endpoints' registrations until the entry's tasks are dropped.
+/// Follows the endpoints' registrations and learns of changed configurations until the entry's tasks are dropped.
 pub(crate) async fn follow(entry: Rc<Entry>) {
     let mut revision = None;
     let mut is_store_unreachable = false;
     loop {
         let source = choose_source(&entry);
         let update = match (revision, source) {
-            (None, _) => list_all(&entry).await,
+            (None, _) => list_endpoints(&entry).await,
             (Some(revision), Source::Store) => watch(&entry, revision).await,
             (Some(revision), Source::Neighbour(reader)) => {
                 follow_reader(&entry, reader, revision).await
@@ -108,8 +113,9 @@
         match (update, source) {
             (Ok(update), _) => {
                 note_reads_store(&entry, source == Source::Store);
-                entry.registry.borrow_mut().prove(update.proved_at);
-                entry.mirror.borrow_mut().advance(update.revision);
+                let mut mirror = entry.mirror.borrow_mut();
+                mirror.advance(update.revision, update.known_to);
+                drop(mirror);
                 if is_store_unreachable {
                     tracing::info!(event = "store_regained", revision = update.revision);
                 }
@@ -123,10 +129,11 @@
             (Err(StoreError::HistoryDiscarded), Source::Neighbour(_)) => revision = None,
             (Err(StoreError::HistoryDiscarded), Source::Store) => {
                 tracing::info!(event = "store_history_lost");
-                entry
-                    .registry
-                    .borrow_mut()
-                    .note_store_failure(Moment::now());
+                let now = Moment::now();
+                entry.registry.borrow_mut().note_store_failure(now);
+                // A change of the configuration may be among the lost ones.
+                entry.tracker.borrow_mut().suspect_change(now);
+                entry.configuration_wanted.notify();
                 revision = None;
             }
             (Err(StoreError::Failed(error)), Source::Neighbour(reader)) if revision.is_some() => {
@@ -159,43 +166,34 @@
     }
 }
 
-/// Lists the configuration and all registrations.
-async fn list_all(entry: &Entry) -> Result<StoreUpdate, StoreError> {
-    let store = &entry.dialect.store;
-    let proved_at = Moment::now();
-    // The watch starts at the revision of the first list, so it delivers changes made between the two lists.
-    let freshness = ReadFreshness::Latest;
-    let prefix = store.configuration_prefix;
-    let (_, revision) = list(entry, prefix, freshness, apply_configuration).await?;
-    let prefix = store.endpoints_prefix;
-    let (keys, listed_at) = list(entry, prefix, freshness, apply_endpoint).await?;
+/// Lists all registrations.
+async fn list_endpoints(entry: &Entry) -> Result<StoreUpdate, StoreError> {
+    let known_to = Moment::now();
+    let prefix = entry.dialect.store.endpoints_prefix;
+    let (keys, revision) = list(entry, prefix, apply_endpoint).await?;
     let ids: Vec<_> = keys
         .iter()
         .filter_map(|key| endpoint_id(entry, key))
         .collect();
     let mut registry = entry.registry.borrow_mut();
-    registry.keep_only(&ids, listed_at, Moment::now());
-    entry.mirror.borrow_mut().keep_only(&keys, listed_at);
-    Ok(StoreUpdate {
-        revision,
-        proved_at,
-    })
+    registry.keep_only(&ids, revision, Moment::now());
+    entry.mirror.borrow_mut().keep_only(&keys, revision);
+    Ok(StoreUpdate { revision, known_to })
 }
 
 /// Reads all items below a prefix; returns their keys and the revision at which the list began.
-async fn list(
+pub(super) async fn list(
     entry: &Entry,
     prefix: &str,
-    freshness: ReadFreshness,
     apply: fn(&Entry, &StoreItem),
 ) -> Result<(Vec<Box<str>>, u64), StoreError> {
     let store = &entry.dialect.store;
     let mut keys: Vec<Box<str>> = Vec::new();
     let mut first_revision = None;
     loop {
-        let path = (store.list_path)(prefix, keys.last().map(AsRef::as_ref), freshness);
-        let body = call_store(entry, &path, Duration::ZERO).await?;
-        let page: Page = (store.page)(&body).map_err(StoreError::Failed)?;
+        let path = (store.list_path)(prefix, keys.last().map(AsRef::as_ref));
+        let body = call_store(entry, &path, Duration::ZERO, usize::MAX).await?;
+        let page: Page = (store.page)(&body.bytes).map_err(StoreError::Failed)?;
         let revision = *first_revision.get_or_insert(page.revision);
         for item in page.items {
             apply(entry, &item);
@@ -207,14 +205,39 @@
     }
 }
 
-/// Waits for changes of any item in the store.
-async fn watch(entry: &Entry, after: u64) -> Result<StoreUpdate, StoreError> {
+/// Waits for changes of any item in the store; of the endpoints alone while a configuration is being read.
+async fn watch(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
+    let tracker = entry.tracker.borrow();
+    let confirmed_to = tracker.confirmed_to().filter(|_| !tracker.needs_read());
+    drop(tracker);
+    match confirmed_to {
+        Some(confirmed_to) => watch_all(entry, revision, confirmed_to).await,
+        None => watch_endpoints(entry, revision).await,
+    }
+}
+
+/// Waits for changes of any item. An answer that is too large is not read: it may contain several versions of the
+/// configuration, of which only the newest is needed.
+async fn watch_all(
+    entry: &Entry,
+    revision: u64,
+    confirmed_to: u64,
+) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
     let wait = next_wait(entry);
-    let path = (store.watch_path)("", after, wait);
-    let body = call_store(entry, &path, wait).await?;
-    let changes: Changes = (store.changes)(&body).map_err(StoreError::Failed)?;
+    let path = (store.watch_path)("", revision.min(confirmed_to), wait);
+    let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
+    if !body.is_complete {
+        let now = Moment::now();
+        entry.tracker.borrow_mut().note_change(confirmed_to, now);
+        entry.configuration_wanted.notify();
+        return Ok(StoreUpdate {
+            revision,
+            known_to: sent_at,
+        });
+    }
+    let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
     for item in &changes.items {
         if item.key.starts_with(store.endpoints_prefix) {
             apply_endpoint(entry, item);
@@ -223,9 +246,39 @@
         }
     }
     let elapsed = Moment::now().since(sent_at);
+    let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
+    entry.tracker.borrow_mut().confirm(changes.revision);
+    entry.registry.borrow_mut().prove(known_to);
     Ok(StoreUpdate {
-        revision: changes.revision.max(after),
-        proved_at: proved_by(sent_at, changes.items.is_empty(), elapsed, wait),
+        revision: changes.revision.max(revision),
+        known_to,
+    })
+}
+
+/// Waits for changes of endpoints, until the configuration that is being read has arrived.
+async fn watch_endpoints(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
+    let store = &entry.dialect.store;
+    let sent_at = Moment::now();
+    let path = (store.watch_path)(store.endpoints_prefix, revision, WATCH_WAIT);
+    let watching = call_store(entry, &path, WATCH_WAIT, usize::MAX);
+    let read = entry.configuration_read.notified();
+    let body = match future::select(pin!(watching), pin!(read)).await {
+        Either::Left((body, _)) => body?,
+        Either::Right(_) => {
+            return Ok(StoreUpdate {
+                revision,
+                known_to: sent_at,
+            });
+        }
+    };
+    let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
+    for item in &changes.items {
+        apply_endpoint(entry, item);
+    }
+    let elapsed = Moment::now().since(sent_at);
+    Ok(StoreUpdate {
+        revision: changes.revision.max(revision),
+        known_to: proved_by(sent_at, changes.items.is_empty(), elapsed, WATCH_WAIT),
     })
 }
 
@@ -242,9 +295,9 @@
         head: wait + READER_TIMEOUT,
         silence: READER_TIMEOUT,
     };
-    let body = call(reader, &path, timeouts).await?;
+    let body = call(reader, &path, timeouts, usize::MAX).await?;
     let response: relay::ChangesResponse =
-        postcard::from_bytes(&body).map_err(|error| StoreError::Failed(error.to_string()))?;
+        postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
     let received_at = Moment::now();
     if let Some(age_ms) = response.store_failed_ms {
         // Recorded before the removals are applied, since some may be expired registrations of living endpoints.
@@ -261,78 +314,63 @@
             },
         );
     }
-    read_configuration(entry, response.configuration_revision).await?;
     let waited = Duration::from_millis(response.waited_ms.into()).min(received_at.since(sent_at));
-    let age = Duration::from_millis(response.proof_age_ms.into());
-    if age > STALE_PROOF_AGE {
-        let error = format!("the reader's proof is {} s old", age.as_secs_f64());
+    let moment = |age_ms: u32| sent_at + waited - Duration::from_millis(age_ms.into());
+    let known_to = moment(response.age_ms);
+    if response.age_ms > ms(STALE_PROOF_AGE) {
+        let error = format!("the reader's knowledge is {} ms old", response.age_ms);
         return Err(StoreError::Failed(error));
     }
+    let reported = &response.configuration;
+    note_reported_configuration(entry, reported, moment(reported.proof_age_ms));
     Ok(StoreUpdate {
         revision: response.revision.max(after),
-        proved_at: sent_at + waited - age,
+        known_to,
     })
 }
 
-/// Reads the configuration until it is at least as new as a revision. The first read may be stale, which costs the
-/// store a tenth of a linearizable read.
-async fn read_configuration(entry: &Entry, revision: u64) -> Result<(), StoreError> {
-    let prefix = entry.dialect.store.configuration_prefix;
-    for freshness in [ReadFreshness::MayBeStale, ReadFreshness::Latest] {
-        if entry.mirror.borrow().configuration_revision() >= revision {
-            return Ok(());
-        }
-        list(entry, prefix, freshness, apply_configuration).await?;
+/// Applies what a reader knows of the newest configuration, which it proved to be the newest at `proved_at`.
+fn note_reported_configuration(
+    entry: &Entry,
+    reported: &relay::ReportedConfiguration,
+    proved_at: Moment,
+) {
+    let now = Moment::now();
+    let mut tracker = entry.tracker.borrow_mut();
+    if reported.revision > tracker.read_revision() {
+        tracker.note_change(reported.revision - 1, now);
+    } else {
+        tracker.confirm(reported.confirmed_to);
+    }
+    if let Some(after) = reported.changed_after {
+        tracker.note_change(after, now);
+    }
+    let mut registry = entry.registry.borrow_mut();
+    if tracker.needs_read() {
+        entry.configuration_wanted.notify();
+    } else {
+        registry.prove(proved_at);
     }
-    if entry.mirror.borrow().configuration_revision() >= revision {
-        return Ok(());
+    if tracker.read_revision() >= reported.keys_revision {
+        registry.prove_keys(proved_at);
     }
-    let error = format!("the store's configuration is older than revision {revision}");
-    Err(StoreError::Failed(error))
 }
 
 /// Calls the store, which may hold the call for a time.
-async fn call_store(entry: &Entry, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+async fn call_store(
+    entry: &Entry,
+    path: &str,
+    wait: Duration,
+    max_bytes: usize,
+) -> Result<CallBody, StoreError> {
     let timeouts = CallTimeouts {
         head: wait + ANSWER_TIMEOUT,
         silence: ANSWER_TIMEOUT,
     };
-    call(entry.settings().store_address, path, timeouts).await
-}
-
-fn apply_configuration(entry: &Entry, item: &StoreItem) {
-    let Some(value) = &item.value else { return };
-    let (began_at, processor_before) = (Moment::now(), processor_time());
-    let read = (entry.dialect.store.configuration)(&item.key, value);
-    if read.is_some() {
-        entry.mirror.borrow_mut().note_configuration(item.revision);
-    }
-    match read {
-        None => {}
-        Some(Ok(configuration)) => {
-            let version = configuration.version;
-            let is_newer = entry
-                .registry
-                .borrow_mut()
-                .apply_configuration(configuration);
-            tracing::info!(
-                event = "configuration_read",
-                version,
-                in_force = is_newer,
-                bytes = value.len(),
-                parse_ms = Moment::now().since(began_at).as_millis(),
-                parse_processor_ms = processor_time()
-                    .saturating_sub(processor_before)
-                    .as_secs_f64()
-                    * 1e3,
-            );
-        }
-        Some(Err(error)) => {
-            tracing::warn!(event = "configuration_unreadable", key = &*item.key, error);
-        }
-    }
+    call(entry.settings().store_address, path, timeouts, max_bytes).await
 }
 
+/// Applies a changed registration.
 fn apply_endpoint(entry: &Entry, item: &StoreItem) {
     let now = Moment::now();
     entry.mirror.borrow_mut().note_registration(item);
--- a/crates/camphorwall-direct/src/store/mirror.rs
+++ b/crates/camphorwall-direct/src/store/mirror.rs
@@ -1,11 +1,11 @@
 //! Copy of the endpoints' registrations in the store, kept by a reader for the entries that follow it.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use futures_channel::oneshot;
 use serde::{Deserialize, Serialize};
 
-use crate::dialect::StoreItem;
+use crate::{clock::Moment, dialect::StoreItem};
 
 /// Maximum number of removals that are kept. A follower that lacks an older one lists the store.
 const MAX_REMOVALS: usize = 256;
@@ -18,14 +18,14 @@
     pub(crate) revision: u64,
 }
 
-/// The endpoints' registrations as they are in the store, and the revision of the configuration. Configurations are
-/// large and change rarely, so followers read them from the store themselves.
+/// The endpoints' registrations as they are in the store.
 #[derive(Debug, Default)]
 pub(crate) struct StoreMirror {
     registrations: HashMap<Box<str>, ChangedItem>,
-    configuration_revision: u64,
     /// Revision of the store up to which all changes are known.
     revision: u64,
+    /// Moment up to which all changes are known.
+    known_to: Option<Moment>,
     /// Removals up to this revision may have been dropped.
     dropped_revision: u64,
     waiting: Vec<oneshot::Sender<()>>,
@@ -55,26 +55,28 @@
         }
     }
 
-    /// Records a revision of the configuration.
-    pub(crate) fn note_configuration(&mut self, revision: u64) {
-        self.configuration_revision = self.configuration_revision.max(revision);
-    }
-
-    pub(crate) const fn configuration_revision(&self) -> u64 {
-        self.configuration_revision
-    }
-
     pub(crate) const fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Records that all changes up to a revision are known, and wakes waiting followers, even if the revision is the
-    /// same.
-    pub(crate) fn advance(&mut self, revision: u64) {
+    /// Age of the newest knowledge of the store.
+    pub(crate) fn age(&self, now: Moment) -> Option<Duration> {
+        self.known_to.map(|known_to| now.since(known_to))
+    }
+
+    /// Records that all changes up to a revision and a moment are known, and wakes waiting followers, even if the
+    /// revision is the same.
+    pub(crate) fn advance(&mut self, revision: u64, known_to: Moment) {
+        self.known_to = self.known_to.max(Some(known_to));
         if revision > self.revision {
             self.revision = revision;
             self.drop_old_removals();
         }
+        self.wake_followers();
+    }
+
+    /// Wakes waiting followers.
+    pub(crate) fn wake_followers(&mut self) {
         for waiting in self.waiting.drain(..) {
             // The follower may have closed its call.
             let _ = waiting.send(());
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -2,10 +2,12 @@
 //! configuration store, and the others follow these.
 
 mod call;
+mod configuration;
 mod follow;
 mod mirror;
 mod readers;
 mod relay;
+mod tracker;
 
 #[cfg(test)]
 mod follow_tests;
@@ -15,8 +17,12 @@
 mod readers_tests;
 #[cfg(test)]
 mod relay_tests;
+#[cfg(test)]
+mod tracker_tests;
 
+pub(crate) use configuration::keep_configuration;
 pub(crate) use follow::follow;
 pub(crate) use mirror::StoreMirror;
 pub(crate) use readers::{CentreKey, Neighbour, centre_key};
 pub(crate) use relay::answer_follower;
+pub(crate) use tracker::ConfigurationTracker;
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -20,13 +20,12 @@
 /// A reader's response to a follower.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct ChangesResponse {
-    /// Revision of the store up to which the response contains all changes.
+    /// Revision of the store up to which the response contains all changes of registrations.
     pub(crate) revision: u64,
     pub(crate) items: Vec<ChangedItem>,
-    /// Revision of the newest configuration.
-    pub(crate) configuration_revision: u64,
-    /// Time since the reader last proved that this was the newest state of the store.
-    pub(crate) proof_age_ms: u32,
+    /// Time since the reader last knew that these were all changes.
+    pub(crate) age_ms: u32,
+    pub(crate) configuration: ReportedConfiguration,
     /// Time for which the reader held the call. The follower adds it to the moment when it sent the call, which bounds
     /// the response's age without a common clock.
     pub(crate) waited_ms: u32,
@@ -34,6 +33,22 @@
     pub(crate) store_failed_ms: Option<u32>,
 }
 
+/// What a reader knows of the newest configuration. Configurations are large and change rarely, so followers get them by
+/// calls of their own.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct ReportedConfiguration {
+    /// Revision of the configuration that the reader read last.
+    pub(crate) revision: u64,
+    /// Revision of the store up to which there is no newer one.
+    pub(crate) confirmed_to: u64,
+    /// Revision after which one was written that the reader hasn't read yet.
+    pub(crate) changed_after: Option<u64>,
+    /// Revision of the first configuration with the same keys.
+    pub(crate) keys_revision: u64,
+    /// Time since the reader last proved that its configuration was the newest.
+    pub(crate) proof_age_ms: u32,
+}
+
 /// Path and query of a follower's call.
 pub(crate) fn path(after: u64, wait: Duration) -> String {
     format!("/changes?after={after}&wait_ms={}", wait.as_millis())
@@ -68,24 +83,43 @@
     changes_response(&entry, after, received_at)
 }
 
+/// Milliseconds in a time, rounded up, so that an age is never reported too low.
+pub(super) fn ms(time: Duration) -> u32 {
+    let ms = time.as_nanos().div_ceil(1_000_000);
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
+
+/// What this entry knows of the newest configuration; `None` before the first read.
+fn reported_configuration(entry: &Entry, now: Moment) -> Option<ReportedConfiguration> {
+    let tracker = entry.tracker.borrow();
+    let proof_age = entry.registry.borrow().proof_age(now)?;
+    Some(ReportedConfiguration {
+        revision: tracker.read_revision(),
+        confirmed_to: tracker.confirmed_to()?,
+        changed_after: tracker.changed_after(),
+        keys_revision: tracker.keys_revision(),
+        proof_age_ms: ms(proof_age),
+    })
+}
+
 fn changes_response(entry: &Entry, after: u64, received_at: Moment) -> Response<BoxedBody> {
     let now = Moment::now();
     let mirror = entry.mirror.borrow();
-    let registry = entry.registry.borrow();
-    let Some(proof_age) = registry.proof_age(now) else {
+    let (Some(age), Some(configuration)) = (mirror.age(now), reported_configuration(entry, now))
+    else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     };
     let Some(items) = mirror.changes(after) else {
         return refuse(StatusCode::GONE);
     };
-    let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    let waited = now.since(received_at).as_millis();
     let response = ChangesResponse {
         revision: mirror.revision(),
         items,
-        configuration_revision: mirror.configuration_revision(),
-        proof_age_ms: ms(proof_age).saturating_add(1),
-        waited_ms: ms(now.since(received_at)),
-        store_failed_ms: registry.store_failed_age(now).map(ms),
+        age_ms: ms(age),
+        configuration,
+        waited_ms: u32::try_from(waited).unwrap_or(u32::MAX),
+        store_failed_ms: entry.registry.borrow().store_failed_age(now).map(ms),
     };
     match postcard::to_stdvec(&response) {
         Ok(bytes) => Response::new(full_body(bytes)),
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -17,7 +17,10 @@
 async fn reader(proof_age: Duration) -> (Rc<Entry>, SocketAddr, StopHandle) {
     let entry = entry_with_empty_dialect();
     entry.reads_store.set(true);
-    entry.registry.borrow_mut().prove(Moment::now() - proof_age);
+    let proved_at = Moment::now() - proof_age;
+    entry.registry.borrow_mut().prove(proved_at);
+    entry.tracker.borrow_mut().confirm(4);
+    entry.mirror.borrow_mut().advance(4, proved_at);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let server = HttpServer {
@@ -38,7 +41,8 @@
         value: Some(b"e1".to_vec()),
         revision,
     });
-    mirror.advance(revision);
+    let known_to = Moment::now() - mirror.age(Moment::now()).expect("an age");
+    mirror.advance(revision, known_to);
 }
 
 #[rstest]
@@ -56,7 +60,55 @@
     };
     assert_eq!(update.revision, 5);
     let proof = reader.registry.borrow().proof_age(before).expect("a proof");
-    assert!(update.proved_at <= before - proof);
+    assert!(update.known_to <= before - proof);
+    let follower_proof = follower.registry.borrow().proof_age(before);
+    assert!(follower_proof.expect("a proof") >= proof);
+}
+
+#[compio::test]
+async fn the_proof_for_keys_does_not_wait_for_a_configuration_with_the_same_keys() {
+    let (reader, address, _stop) = reader(Duration::ZERO).await;
+    let follower = entry_with_empty_dialect();
+    for (entry, revision, has_same_keys) in [
+        (&follower, 3, false),
+        (&reader, 3, false),
+        (&reader, 6, true),
+    ] {
+        entry
+            .tracker
+            .borrow_mut()
+            .note_read(revision, has_same_keys);
+    }
+    register(&reader, 7);
+    assert!(follow_reader(&follower, address, 4).await.is_ok());
+    let now = Moment::now();
+    assert!(follower.tracker.borrow().is_outdated());
+    let registry = follower.registry.borrow();
+    assert!(registry.proof_age(now).is_none());
+    assert!(registry.keys_are_fresh(now, Duration::from_secs(5)));
+}
+
+#[compio::test]
+async fn keys_are_not_proved_while_a_configuration_with_other_keys_is_unread() {
+    let (reader, address, _stop) = reader(Duration::ZERO).await;
+    let follower = entry_with_empty_dialect();
+    follower.tracker.borrow_mut().note_read(3, false);
+    reader.tracker.borrow_mut().note_read(6, false);
+    register(&reader, 7);
+    assert!(follow_reader(&follower, address, 4).await.is_ok());
+    let registry = follower.registry.borrow();
+    assert!(!registry.keys_are_fresh(Moment::now(), Duration::from_secs(5)));
+}
+
+#[compio::test]
+async fn a_follower_learns_of_a_change_that_its_reader_has_not_read_yet() {
+    let (reader, address, _stop) = reader(Duration::ZERO).await;
+    let follower = entry_with_empty_dialect();
+    follower.tracker.borrow_mut().confirm(4);
+    reader.tracker.borrow_mut().note_change(4, Moment::now());
+    register(&reader, 7);
+    assert!(follow_reader(&follower, address, 4).await.is_ok());
+    assert!(follower.tracker.borrow().needs_read());
 }
 
 #[compio::test]
--- /dev/null
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -0,0 +1,69 @@
+use std::time::Duration;
+
+use crate::{store::tracker::ConfigurationTracker, testing::at_ms};
+
+/// A tracker that read a configuration of revision 5, confirmed to be the newest up to revision 8.
+fn confirmed() -> ConfigurationTracker {
+    let mut tracker = ConfigurationTracker::default();
+    tracker.note_read(5, false);
+    tracker.confirm(8);
+    tracker
+}
+
+#[test]
+fn the_first_configuration_must_be_read() {
+    let mut tracker = ConfigurationTracker::default();
+    assert!(tracker.needs_read());
+    assert!(!tracker.is_outdated());
+    tracker.confirm(8);
+    assert!(!tracker.needs_read());
+}
+
+#[test]
+fn a_read_that_may_lack_a_change_does_not_end_the_suspicion() {
+    let mut tracker = confirmed();
+    tracker.note_change(8, at_ms(1_000));
+    assert!(tracker.needs_read());
+    // A read that began before the change confirms an older revision.
+    tracker.confirm(8);
+    assert!(tracker.needs_read());
+    assert_eq!(
+        tracker.outdated_for(at_ms(1_300)),
+        Some(Duration::from_millis(300))
+    );
+    tracker.note_read(10, true);
+    tracker.confirm(11);
+    assert!(!tracker.needs_read());
+    assert_eq!(tracker.outdated_for(at_ms(1_300)), None);
+}
+
+#[test]
+fn a_late_report_of_a_change_that_has_been_read_is_ignored() {
+    let mut tracker = confirmed();
+    tracker.note_change(7, at_ms(1_000));
+    assert!(!tracker.is_outdated());
+    assert_eq!(tracker.outdated_for(at_ms(2_000)), None);
+}
+
+#[test]
+fn the_age_of_an_outdated_configuration_counts_from_the_first_of_several_changes() {
+    let mut tracker = confirmed();
+    tracker.note_change(8, at_ms(1_000));
+    tracker.note_change(12, at_ms(1_500));
+    assert_eq!(
+        tracker.outdated_for(at_ms(2_000)),
+        Some(Duration::from_millis(1_000))
+    );
+}
+
+#[test]
+fn the_revision_of_the_keys_stays_while_configurations_have_the_same_keys() {
+    let mut tracker = confirmed();
+    tracker.note_read(9, true);
+    assert_eq!((tracker.read_revision(), tracker.keys_revision()), (9, 5));
+    tracker.note_read(12, false);
+    assert_eq!(tracker.keys_revision(), 12);
+    // A page of an older list arrives late.
+    tracker.note_read(9, false);
+    assert_eq!((tracker.read_revision(), tracker.keys_revision()), (12, 12));
+}
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -68,7 +68,7 @@
     store: StoreDialect {
         configuration_prefix: "configuration",
         endpoints_prefix: "endpoints/",
-        list_path: |_, _, _| String::new(),
+        list_path: |_, _| String::new(),
         watch_path: |_, _, _| String::new(),
         page: |_| {
             Ok(Page {
