Give no 401, 404, 413 or 431 by a configuration that may be outdated

Cause: an entry that knew that a newer configuration exists, or had no proof for long, refused by the older one as if it were the newest. Routes without keys asked for no proof at all and were served by the older one without end.

Change: while a newer configuration is known or the proof is older than 2 s, such a refusal is a 503 with a Retry-After (`configuration_outdated`), which is true and sends the caller to another entry. Once a known change is overdue (`bounds.configuration_apply_ms`, less half a second for the time until it was known), the entry refuses all requests and is not ready, rather than serve by what the operator has replaced.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -56,6 +56,9 @@
 /// that it admitted before the bound have been sent to endpoints by then.
 const PEER_MARGIN: Duration = Duration::from_secs(1);
 
+/// Part of the time for a configuration to come into force that is reserved for the time until this entry learns of it.
+const APPLY_MARGIN: Duration = Duration::from_millis(500);
+
 /// Pause before the entry checks whether an endpoint that broke off a request still runs.
 const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -428,11 +431,24 @@
             .reject(|request| poison.block(&request.content, now).is_some());
     }
 
+    /// Whether a route or a key that is not in the configuration in force may be in a newer one.
+    pub(crate) fn may_be_outdated(&self, now: Moment) -> bool {
+        self.tracker.borrow().is_outdated() || !self.registry.borrow().has_fresh_proof(now)
+    }
+
+    /// Whether a newer configuration is known that must be in force by now but could not be read.
+    pub(crate) fn is_configuration_overdue(&self, now: Moment) -> bool {
+        let apply = self.settings().bounds.configuration_apply();
+        let outdated_for = self.tracker.borrow().outdated_for(now);
+        outdated_for.is_some_and(|time| time >= apply.saturating_sub(APPLY_MARGIN))
+    }
+
     /// Whether this entry serves callers, also those with keys.
     pub(crate) fn is_serving(&self, now: Moment) -> bool {
         let registry = self.registry.borrow();
         registry.configuration().is_some()
             && self.are_keys_open(now)
+            && !self.is_configuration_overdue(now)
             && registry.has_endpoints()
             && !self.is_leaving()
     }
@@ -457,6 +473,11 @@
                 is_ready,
                 configuration = registry.configuration().map(|current| current.version),
                 are_keys_open = self.are_keys_open(now),
+                outdated_for_s = self
+                    .tracker
+                    .borrow()
+                    .outdated_for(now)
+                    .map(|time| time.as_secs_f64()),
                 proof_age_s = registry.proof_age(now).map(|age| age.as_secs_f64()),
                 has_endpoints = registry.has_endpoints(),
                 is_leaving = self.is_leaving(),
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -17,6 +17,9 @@
 /// that a request takes through the entry.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Age above which the proof that the configuration in force is the newest is stale.
+pub(crate) const STALE_PROOF_AGE: Duration = Duration::from_secs(2);
+
 #[derive(Debug)]
 struct Registration {
     endpoint: Rc<Endpoint>,
@@ -98,6 +101,13 @@
         self.proved_at.map(|proved_at| now.since(proved_at))
     }
 
+    /// Whether the configuration in force was recently proved to be the store's newest.
+    #[must_use]
+    pub(crate) fn has_fresh_proof(&self, now: Moment) -> bool {
+        self.proof_age(now)
+            .is_some_and(|age| age <= STALE_PROOF_AGE)
+    }
+
     /// Records a failed call to the store.
     pub(crate) fn note_store_failure(&mut self, now: Moment) {
         self.store_failed_at = self.store_failed_at.max(Some(now));
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -194,10 +194,8 @@
     } = head?;
     request_log.note_team(team.as_deref());
     let body = body.ok_or_else(|| {
-        Refusal::caller_error(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            RequestEnd::BodyTooLargeOrBroken,
-        )
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        refuse_by_configuration(entry, status, RequestEnd::BodyTooLargeOrBroken)
     })?;
     let content = Rc::new(Content {
         fingerprint: fingerprint(&parts.uri, &facts, &body),
@@ -300,17 +298,32 @@
         Refusal::not_run(RequestEnd::NoConfiguration, entry.retry_elsewhere_after())
     })?;
     if head_bytes(parts) > configuration.limits.max_head_bytes {
+        drop(registry);
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(Refusal::caller_error(status, RequestEnd::HeadTooLarge));
+        return Err(refuse_by_configuration(
+            entry,
+            status,
+            RequestEnd::HeadTooLarge,
+        ));
     }
     let route = configuration.route(&facts.host, parts.uri.path()).cloned();
+    drop(registry);
     let Some(route) = route else {
-        return Err(Refusal::caller_error(
+        request_log.configuration_version.set(configuration.version);
+        return Err(refuse_by_configuration(
+            entry,
             StatusCode::NOT_FOUND,
             RequestEnd::NoRoute,
         ));
     };
     request_log.note_route(&configuration, &route);
+    if entry.is_configuration_overdue(Moment::now()) {
+        let retry_after = entry.retry_elsewhere_after();
+        return Err(Refusal::not_run(
+            RequestEnd::ConfigurationOutdated,
+            retry_after,
+        ));
+    }
     if entry.is_refusing(route.kind, facts.output_estimate_tokens) {
         return Err(Refusal::not_run(RequestEnd::Stopping, Duration::ZERO));
     }
@@ -321,7 +334,6 @@
             team: None,
         });
     }
-    drop(registry);
     check_keys_fresh(entry, &route, &configuration)?;
     let key = facts.key.as_deref().unwrap_or_default();
     match configuration.keys.get(key).cloned() {
@@ -330,13 +342,24 @@
             route,
             team: Some(team),
         }),
-        None => Err(Refusal::caller_error(
+        None => Err(refuse_by_configuration(
+            entry,
             StatusCode::UNAUTHORIZED,
             RequestEnd::UnknownKey,
         )),
     }
 }
 
+/// Refuses a request that the configuration in force doesn't allow. While a newer one may allow it, that is no fault of the
+/// caller.
+fn refuse_by_configuration(entry: &Entry, status: StatusCode, reason: RequestEnd) -> Refusal {
+    if entry.may_be_outdated(Moment::now()) {
+        Refusal::not_run(RequestEnd::ConfigurationOutdated, TRANSIENT_RETRY_AFTER)
+    } else {
+        Refusal::caller_error(status, reason)
+    }
+}
+
 /// Size of a head as received, each field with its separators.
 fn head_bytes(parts: &http::request::Parts) -> usize {
     const SEPARATOR_BYTES: usize = 4;
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
+    /// Time after which a published configuration must be in force, in milliseconds.
+    pub configuration_apply_ms: Option<u64>,
     /// Time after which a withdrawn key must not be served, in milliseconds.
     pub key_withdrawal_ms: Option<u64>,
     /// Time between the stop command and the kill, in seconds.
@@ -50,12 +52,22 @@
 }
 
 impl Bounds {
+    const DEFAULT_CONFIGURATION_APPLY_MS: u64 = 3_000;
     const DEFAULT_KEY_WITHDRAWAL_MS: u64 = 5_000;
     const DEFAULT_SHUTDOWN_S: f64 = 8.0;
     const DEFAULT_RETRY_SHARE: f64 = 0.1;
     const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
     const DEFAULT_RETRY_ALLOWANCE: f64 = 20.0;
 
+    /// Time after which a published configuration must be in force.
+    #[must_use]
+    pub fn configuration_apply(&self) -> Duration {
+        let apply_ms = self
+            .configuration_apply_ms
+            .unwrap_or(Self::DEFAULT_CONFIGURATION_APPLY_MS);
+        Duration::from_millis(apply_ms)
+    }
+
     /// Time after which a withdrawn key must not be served.
     #[must_use]
     pub fn key_withdrawal(&self) -> Duration {
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -16,7 +16,7 @@
     clock::Moment,
     dialect::{Changes, Page, StoreItem},
     entry::Entry,
-    registry::EndpointChange,
+    registry::{EndpointChange, STALE_PROOF_AGE},
 };
 
 /// How long the store may hold a call that waits for changes. Each answer renews the proof that the configuration in
@@ -29,10 +29,6 @@
 /// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Age above which a proof is stale. The next call then doesn't wait for changes, so that one lost call delays the next
-/// proof by at most this time plus the call's timeout.
-const STALE_PROOF_AGE: Duration = Duration::from_secs(2);
-
 /// Wait for changes of a call that should be answered at once.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
@@ -86,11 +82,11 @@
     }
 }
 
-/// How long the next call may wait for a change: not at all while the proof is stale.
+/// How long the next call may wait for a change: not at all while the proof is stale, so that one lost call delays the
+/// next proof by at most the age of a stale one plus the call's timeout.
 fn next_wait(entry: &Entry) -> Duration {
-    let proof_age = entry.registry.borrow().proof_age(Moment::now());
-    let is_fresh = proof_age.is_some_and(|age| age <= STALE_PROOF_AGE);
-    if is_fresh || entry.tracker.borrow().needs_read() {
+    let has_fresh_proof = entry.registry.borrow().has_fresh_proof(Moment::now());
+    if has_fresh_proof || entry.tracker.borrow().needs_read() {
         WATCH_WAIT
     } else {
         NO_WAIT
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -103,6 +103,7 @@
         max_open_files: None,
         memory_mb: None,
         bounds: Bounds {
+            configuration_apply_ms: None,
             key_withdrawal_ms: None,
             shutdown_s: None,
             retry_share: None,
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -16,6 +16,8 @@
     BrokeOff,
     /// The caller closed its connection.
     CallerLeft,
+    /// A newer configuration is known that is not in force here yet.
+    ConfigurationOutdated,
     /// The request, or others with the same part in their prompts, crashed several endpoints.
     CrashesEndpoints,
     /// The endpoint answered with a failure.
@@ -86,6 +88,9 @@
             Self::CallerLeft => {
                 "the caller closed its connection; the wait times show what it was waiting for"
             }
+            Self::ConfigurationOutdated => {
+                "a newer configuration is known or may exist that is not in force here yet, which may allow the request; look for configuration_not_read"
+            }
             Self::CrashesEndpoints => {
                 "endpoints crashed three times before they began to answer the request, or others with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
             }
