Renew the proof of a reader before it is stale

Cause: an answer with changes proves only when its call was sent. If it came at the end of a wait of 1.5 s and was followed by a whole wait without changes, the proof became almost 3 s old, and 2 s count as stale.

Change: a reader's call waits no longer than until its proof is 1.5 s old. Followers wait as before, since a reader wakes them at each answer of the store.

--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -19,12 +19,12 @@
     registry::{EndpointChange, STALE_PROOF_AGE},
 };
 
-/// How long the store may hold a call that waits for changes. Each answer renews the proof that the configuration in
-/// force is the newest. A dead connection is detected after this time plus the call's timeout.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// Age at which the proof that the configuration in force is the newest is renewed, and the longest time for which the
+/// store may hold a call. A dead connection is detected after this time plus the call's timeout.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause after changes, so that several in quick succession arrive in one answer.
-const CHANGES_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 
 /// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -86,15 +86,11 @@
     }
 }
 
-/// How long the next call may wait for a change: not at all while the proof is stale, so that one lost call delays the
-/// next proof by at most the age of a stale one plus the call's timeout.
-fn next_wait(entry: &Entry) -> Duration {
-    let has_fresh_proof = entry.registry.borrow().has_fresh_proof(Moment::now());
-    if has_fresh_proof || entry.tracker.borrow().needs_read() {
-        WATCH_WAIT
-    } else {
-        NO_WAIT
-    }
+/// How long the store may hold a call that renews the proof: until the proof is `WATCH_WAIT` old. An answer with changes
+/// proves only when its call was sent, so that a full wait after it would let the proof become twice as old.
+pub(crate) fn proof_wait(proof_age: Option<Duration>) -> Duration {
+    let left = proof_age.map(|age| WATCH_WAIT.saturating_sub(age));
+    left.unwrap_or_default().max(NO_WAIT)
 }
 
 /// Follows the endpoints' registrations and learns of changed configurations until the entry's tasks are dropped.
@@ -225,7 +221,7 @@
 ) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
-    let wait = next_wait(entry);
+    let wait = proof_wait(entry.registry.borrow().proof_age(sent_at));
     let path = (store.watch_path)("", revision.min(confirmed_to), wait);
     let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
     if !body.is_complete {
@@ -289,7 +285,12 @@
     after: u64,
 ) -> Result<StoreUpdate, StoreError> {
     let sent_at = Moment::now();
-    let wait = next_wait(entry);
+    let is_current = entry.registry.borrow().has_fresh_proof(sent_at);
+    let wait = if is_current || entry.tracker.borrow().needs_read() {
+        WATCH_WAIT
+    } else {
+        NO_WAIT
+    };
     let path = relay::changes_path(after, wait);
     let body = call_reader(reader, &path, wait).await?;
     let response: relay::ChangesResponse =
