Read a configuration once

Cause: the watch of all keys began at the last known change of an endpoint. If the configuration was written after that, the answer contained it once more, was too large, and had it read again, without end.

Change: after a configuration has been read, one call gets the changes of endpoints up to then before all keys are watched again. Revision and moment up to which endpoints are known advance only by answers about endpoints.

--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -49,8 +49,8 @@
 pub(super) struct StoreUpdate {
     /// Revision up to which all changes of endpoints are known.
     pub(super) revision: u64,
-    /// Moment up to which all changes of endpoints are known.
-    pub(super) known_to: Moment,
+    /// Moment up to which all changes of endpoints are known; `None` if nothing new is known of them.
+    pub(super) known_to: Option<Moment>,
 }
 
 /// Moment up to which a watch proves that all changes are known. The store answers without changes only at the end of
@@ -174,7 +174,10 @@
     let mut registry = entry.registry.borrow_mut();
     registry.keep_only(&ids, revision, Moment::now());
     entry.mirror.borrow_mut().keep_only(&keys, revision);
-    Ok(StoreUpdate { revision, known_to })
+    Ok(StoreUpdate {
+        revision,
+        known_to: Some(known_to),
+    })
 }
 
 /// Reads all items below a prefix; returns their keys and the revision at which the list began.
@@ -201,14 +204,36 @@
     }
 }
 
-/// Waits for changes of any item in the store; of the endpoints alone while a configuration is being read.
+/// Waits for changes of any item in the store; of the endpoints alone while a configuration is being read, and until all
+/// changes of endpoints before it are known, since the answer would contain it once more.
 async fn watch(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
     let tracker = entry.tracker.borrow();
     let confirmed_to = tracker.confirmed_to().filter(|_| !tracker.needs_read());
+    let read_revision = tracker.read_revision();
     drop(tracker);
     match confirmed_to {
-        Some(confirmed_to) => watch_all(entry, revision, confirmed_to).await,
-        None => watch_endpoints(entry, revision).await,
+        Some(confirmed_to) if revision >= read_revision => {
+            watch_all(entry, revision, confirmed_to).await
+        }
+        Some(confirmed_to) => {
+            let update = watch_endpoints(entry, revision, NO_WAIT).await?;
+            // The call was sent after the configuration was read, so its answer has all changes up to then.
+            Ok(StoreUpdate {
+                revision: update.revision.max(confirmed_to),
+                ..update
+            })
+        }
+        None => {
+            let watching = pin!(watch_endpoints(entry, revision, WATCH_WAIT));
+            let read = pin!(entry.configuration_read.notified());
+            match future::select(watching, read).await {
+                Either::Left((update, _)) => update,
+                Either::Right(_) => Ok(StoreUpdate {
+                    revision,
+                    known_to: None,
+                }),
+            }
+        }
     }
 }
 
@@ -230,7 +255,7 @@
         entry.configuration_wanted.notify();
         return Ok(StoreUpdate {
             revision,
-            known_to: sent_at,
+            known_to: None,
         });
     }
     let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
@@ -247,34 +272,29 @@
     entry.registry.borrow_mut().prove(known_to);
     Ok(StoreUpdate {
         revision: changes.revision.max(revision),
-        known_to,
+        known_to: Some(known_to),
     })
 }
 
-/// Waits for changes of endpoints, until the configuration that is being read has arrived.
-async fn watch_endpoints(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
+/// Waits for changes of endpoints.
+async fn watch_endpoints(
+    entry: &Entry,
+    revision: u64,
+    wait: Duration,
+) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
-    let path = (store.watch_path)(store.endpoints_prefix, revision, WATCH_WAIT);
-    let watching = call_store(entry, &path, WATCH_WAIT, usize::MAX);
-    let read = entry.configuration_read.notified();
-    let body = match future::select(pin!(watching), pin!(read)).await {
-        Either::Left((body, _)) => body?,
-        Either::Right(_) => {
-            return Ok(StoreUpdate {
-                revision,
-                known_to: sent_at,
-            });
-        }
-    };
+    let path = (store.watch_path)(store.endpoints_prefix, revision, wait);
+    let body = call_store(entry, &path, wait, usize::MAX).await?;
     let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
     for item in &changes.items {
         apply_endpoint(entry, item);
     }
     let elapsed = Moment::now().since(sent_at);
+    let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
     Ok(StoreUpdate {
         revision: changes.revision.max(revision),
-        known_to: proved_by(sent_at, changes.items.is_empty(), elapsed, WATCH_WAIT),
+        known_to: Some(known_to),
     })
 }
 
@@ -322,7 +342,7 @@
     note_reported_configuration(entry, reported, moment(reported.proof_age_ms));
     Ok(StoreUpdate {
         revision: response.revision.max(after),
-        known_to,
+        known_to: Some(known_to),
     })
 }
 
--- a/crates/camphorwall-direct/src/store/mirror.rs
+++ b/crates/camphorwall-direct/src/store/mirror.rs
@@ -64,10 +64,10 @@
         self.known_to.map(|known_to| now.since(known_to))
     }
 
-    /// Records that all changes up to a revision and a moment are known, and wakes waiting followers, even if the
-    /// revision is the same.
-    pub(crate) fn advance(&mut self, revision: u64, known_to: Moment) {
-        self.known_to = self.known_to.max(Some(known_to));
+    /// Records that all changes up to a revision and a moment are known, and wakes waiting followers, even if neither is
+    /// newer.
+    pub(crate) fn advance(&mut self, revision: u64, known_to: Option<Moment>) {
+        self.known_to = self.known_to.max(known_to);
         if revision > self.revision {
             self.revision = revision;
             self.drop_old_removals();
--- a/crates/camphorwall-direct/src/store/mirror_tests.rs
+++ b/crates/camphorwall-direct/src/store/mirror_tests.rs
@@ -26,7 +26,7 @@
     mirror.note_registration(&item("a", Some("draining"), 6));
     // A page of an older list arrives late.
     mirror.note_registration(&item("a", Some("ready"), 3));
-    mirror.advance(6, at_ms(0));
+    mirror.advance(6, Some(at_ms(0)));
     assert_eq!(keys(&mirror, 4), [("a".to_owned(), true)]);
     assert_eq!(
         mirror.changes(5).expect("changes")[0].value.as_deref(),
@@ -41,7 +41,7 @@
     mirror.note_registration(&item("a", Some("ready"), 3));
     mirror.note_registration(&item("b", Some("ready"), 4));
     mirror.keep_only(&["b".into()], 9);
-    mirror.advance(9, at_ms(0));
+    mirror.advance(9, Some(at_ms(0)));
     assert_eq!(keys(&mirror, 4), [("a".to_owned(), false)]);
 }
 
@@ -50,7 +50,7 @@
     let mut mirror = StoreMirror::default();
     for number in 0..1_000 {
         mirror.note_registration(&item(&format!("e{number}"), None, 10 + number));
-        mirror.advance(10 + number, at_ms(0));
+        mirror.advance(10 + number, Some(at_ms(0)));
     }
     assert!(mirror.changes(5).is_none());
     assert!(mirror.changes(1_000).is_some());
@@ -61,10 +61,10 @@
 #[test]
 fn a_waiting_follower_is_woken_by_each_answer_of_the_store() {
     let mut mirror = StoreMirror::default();
-    mirror.advance(3, at_ms(0));
+    mirror.advance(3, Some(at_ms(0)));
     let mut waiting = mirror.next_update();
     assert_eq!(waiting.try_recv(), Ok(None));
-    mirror.advance(3, at_ms(0));
+    mirror.advance(3, Some(at_ms(0)));
     assert_eq!(waiting.try_recv(), Ok(Some(())));
     assert_eq!(mirror.revision(), 3);
 }
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -25,7 +25,7 @@
     let proved_at = Moment::now() - proof_age;
     entry.registry.borrow_mut().prove(proved_at);
     entry.tracker.borrow_mut().confirm(4);
-    entry.mirror.borrow_mut().advance(4, proved_at);
+    entry.mirror.borrow_mut().advance(4, Some(proved_at));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let server = HttpServer {
@@ -103,7 +103,7 @@
         revision,
     });
     let known_to = Moment::now() - mirror.age(Moment::now()).expect("an age");
-    mirror.advance(revision, known_to);
+    mirror.advance(revision, Some(known_to));
 }
 
 #[rstest]
@@ -121,7 +121,7 @@
     };
     assert_eq!(update.revision, 5);
     let proof = reader.registry.borrow().proof_age(before).expect("a proof");
-    assert!(update.known_to <= before - proof);
+    assert!(update.known_to.expect("a moment") <= before - proof);
     let follower_proof = follower.registry.borrow().proof_age(before);
     assert!(follower_proof.expect("a proof") >= proof);
 }
