Parse large configurations in parts, and only what is new in them

Requests that arrived while a configuration of 866 KB was parsed waited up to 110 ms at an entry of 0.09 cores.

Cause: the whole document was parsed at once on the thread that serves requests, and each of its routes anew though most were the same as before.

Change: the adapter parses a configuration without its routes and gives their texts; the entry parses them 256 at once with a pause after each part, and takes those whose text it knows from the last configuration, so that versions share their memory. A list of the store whose page fails goes on at that page instead of from its beginning.

--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Request, request, response};
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::{Configuration, Endpoint, Stage};
+use crate::configuration::{Configuration, Endpoint, Route, Stage};
 
 /// Functions of one platform's adapter. They only translate and make no decisions.
 #[derive(Clone, Copy)]
@@ -27,8 +27,19 @@
     pub store: StoreDialect,
 }
 
-/// Parses a configuration from an item of the store; `None` for an item that contains none.
-pub type ReadConfiguration = fn(key: &str, value: &[u8]) -> Option<Result<Configuration, String>>;
+/// Parses all of a configuration but its routes from an item of the store; `None` for an item that contains none.
+pub type DraftConfiguration =
+    fn(key: &str, value: &Bytes) -> Option<Result<ConfigurationDraft, String>>;
+
+/// A configuration whose routes are still to be parsed. There may be thousands of them, too many to parse at once on a
+/// thread that also serves requests.
+#[derive(Debug)]
+pub struct ConfigurationDraft {
+    /// The configuration without its routes.
+    pub configuration: Configuration,
+    /// Text of each route, in the published order.
+    pub routes: Vec<Bytes>,
+}
 
 /// Functions of the adapter for the configuration store.
 #[derive(Clone, Copy)]
@@ -45,8 +56,10 @@
     pub page: fn(&[u8]) -> Result<Page, String>,
     /// Parses the answer to a wait for changes.
     pub changes: fn(&[u8]) -> Result<Changes, String>,
-    /// Parses a configuration.
-    pub configuration: ReadConfiguration,
+    /// Parses all of a configuration but its routes.
+    pub configuration: DraftConfiguration,
+    /// Parses a route of a configuration.
+    pub route: fn(&[u8]) -> Result<Route, String>,
     /// Parses an endpoint's registration.
     pub endpoint: fn(key: &str, value: &[u8]) -> Result<Endpoint, String>,
 }
@@ -148,7 +161,7 @@
     /// Key of the item.
     pub key: Box<str>,
     /// Content; none if the item was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Bytes>,
     /// Revision of the store at which the item changed.
     pub revision: u64,
 }
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -31,7 +31,7 @@
     retries::{RetryBounds, RetryBudget},
     return_queue::ReturnQueue,
     settings::DirectSettings,
-    store::{ConfigurationTracker, RecentConfigurations, StoreMirror, centre_key},
+    store::{ConfigurationTracker, ParsedRoutes, RecentConfigurations, StoreMirror, centre_key},
     suspicion::Suspicions,
     upstream::{Connection, SendError},
 };
@@ -93,6 +93,7 @@
     pub(crate) configuration_wanted: Notify,
     /// Notified when a configuration has been read.
     pub(crate) configuration_read: Notify,
+    pub(crate) parsed_routes: RefCell<ParsedRoutes>,
     /// Configurations for the entries that follow this one.
     pub(crate) recent: RefCell<RecentConfigurations>,
     /// Copy of the store's registrations for the entries that follow this one.
@@ -195,6 +196,7 @@
             tracker: RefCell::default(),
             configuration_wanted: Notify::default(),
             configuration_read: Notify::default(),
+            parsed_routes: RefCell::default(),
             recent: RefCell::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -87,8 +87,8 @@
 };
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
-    AnswerFacts, Changes, Dialect, ForwardingFacts, KvHandle, Page, PromptPart, ReadConfiguration,
-    RequestFacts, StoreDialect, StoreItem,
+    AnswerFacts, Changes, ConfigurationDraft, Dialect, DraftConfiguration, ForwardingFacts,
+    KvHandle, Page, PromptPart, RequestFacts, StoreDialect, StoreItem,
 };
 pub use route_table::RouteTable;
 pub use run::{ControlCommand, StartError, run};
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -77,15 +77,12 @@
     /// Puts a configuration in force unless one of the same or a newer version is; returns whether it did.
     pub(crate) fn apply_configuration(
         &mut self,
-        mut configuration: Configuration,
+        configuration: Configuration,
         revision: u64,
     ) -> bool {
         let in_force = self.configuration.as_ref();
         let is_newer = in_force.is_none_or(|current| configuration.version > current.version);
         if is_newer {
-            if let Some(current) = in_force {
-                configuration.routes.share_with(&current.routes);
-            }
             self.configuration = Some(Rc::new(configuration));
             self.configuration_revision = revision;
         }
--- a/crates/camphorwall-direct/src/route_table.rs
+++ b/crates/camphorwall-direct/src/route_table.rs
@@ -24,9 +24,14 @@
             }
         }
         for routes in hosts.values_mut() {
-            routes.reverse();
             routes.sort_by(|a, b| a.path_prefix.cmp(&b.path_prefix));
-            routes.dedup_by(|later, kept| later.path_prefix == kept.path_prefix);
+            routes.dedup_by(|later, kept| {
+                let is_same = later.path_prefix == kept.path_prefix;
+                if is_same {
+                    std::mem::swap(later, kept);
+                }
+                is_same
+            });
         }
         Self { hosts }
     }
@@ -56,16 +61,6 @@
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Rc<Route>> {
         self.hosts.values().flatten()
     }
-
-    /// Takes over the routes of an earlier table that are the same in this one, so that both share their memory.
-    pub(crate) fn share_with(&mut self, earlier: &Self) {
-        for route in self.hosts.values_mut().flatten() {
-            let known = earlier.get(&route.host, &route.path_prefix);
-            if let Some(known) = known.filter(|known| *known == route) {
-                *route = Rc::clone(known);
-            }
-        }
-    }
 }
 
 fn find_prefix<'a>(routes: &'a [Rc<Route>], path_prefix: &str) -> Option<&'a Rc<Route>> {
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -1,6 +1,8 @@
 //! Reads configurations in a task of their own, so that small and urgent changes don't wait for a large one.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use xxhash_rust::xxh3::xxh3_128;
 
 use super::{
     call::StoreError,
@@ -9,14 +11,27 @@
     relay::{self, ConfigurationHead},
 };
 use crate::{
-    clock::Moment, configuration::Configuration, configuration_change::ConfigurationChange,
-    dialect::StoreItem, entry::Entry,
+    clock::Moment,
+    configuration::{Configuration, Route},
+    configuration_change::ConfigurationChange,
+    dialect::{ConfigurationDraft, StoreItem},
+    entry::Entry,
 };
 
 /// How long a reader may hold a follower's call until it has read a newer configuration itself. After that the follower
 /// reads the store.
 const READER_WAIT: Duration = Duration::from_millis(500);
 
+/// Number of routes that are parsed at once.
+const ROUTES_PER_PART: usize = 256;
+
+/// Pause after each part of the routes.
+const PART_PAUSE: Duration = Duration::from_millis(1);
+
+/// Routes of the configuration that was parsed last, by the hash of their text. In most configurations all but a few
+/// routes are those of the one before.
+pub(crate) type ParsedRoutes = HashMap<u128, Rc<Route>>;
+
 /// Reads the configuration whenever there is a newer one, until the entry's tasks are dropped.
 pub(crate) async fn keep_configuration(entry: Rc<Entry>) {
     let mut has_failed = false;
@@ -54,7 +69,10 @@
 async fn read_from_store(entry: &Entry) -> Result<(), StoreError> {
     let sent_at = Moment::now();
     let prefix = entry.dialect.store.configuration_prefix;
-    let (_, revision) = list(entry, prefix, apply_configuration).await?;
+    let (items, revision) = list(entry, prefix).await?;
+    for item in &items {
+        apply_configuration(entry, item).await;
+    }
     note_confirmed(entry, revision, sent_at);
     Ok(())
 }
@@ -111,22 +129,52 @@
 }
 
 /// Parses a configuration and puts it in force unless a newer one is.
-pub(super) fn apply_configuration(entry: &Entry, item: &StoreItem) {
+pub(super) async fn apply_configuration(entry: &Entry, item: &StoreItem) {
     let Some(value) = &item.value else { return };
     let figures = ReadFigures {
         bytes: value.len(),
         began_at: Moment::now(),
     };
-    match (entry.dialect.store.configuration)(&item.key, value) {
-        None => {}
-        Some(Ok(configuration)) => put_in_force(entry, configuration, item.revision, figures),
-        Some(Err(error)) => {
+    let draft = (entry.dialect.store.configuration)(&item.key, value);
+    let parsed = match draft {
+        None => return,
+        Some(Ok(draft)) => parse_routes(entry, draft).await,
+        Some(Err(error)) => Err(error),
+    };
+    match parsed {
+        Ok(configuration) => put_in_force(entry, configuration, item.revision, figures),
+        Err(error) => {
             tracing::warn!(event = "configuration_unreadable", key = &*item.key, error);
             entry.tracker.borrow_mut().note_read(item.revision, true);
         }
     }
 }
 
+/// Parses the routes of a configuration, with a pause after each part of them in which requests are served.
+async fn parse_routes(entry: &Entry, draft: ConfigurationDraft) -> Result<Configuration, String> {
+    let mut earlier = entry.parsed_routes.take();
+    let mut parsed = ParsedRoutes::default();
+    let mut routes = Vec::with_capacity(draft.routes.len());
+    for (number, text) in draft.routes.iter().enumerate() {
+        if number > 0 && number.is_multiple_of(ROUTES_PER_PART) {
+            compio::time::sleep(PART_PAUSE).await;
+        }
+        let name = xxh3_128(text);
+        let route = match earlier.remove(&name) {
+            Some(route) => route,
+            None => Rc::new((entry.dialect.store.route)(text)?),
+        };
+        parsed.insert(name, Rc::clone(&route));
+        routes.push(route);
+    }
+    entry.parsed_routes.replace(parsed);
+    Ok(Configuration {
+        routes: routes.into_iter().collect(),
+        ..draft.configuration
+    })
+}
+
+/// Puts a configuration in force unless a newer one is.
 pub(super) fn put_in_force(
     entry: &Entry,
     configuration: Configuration,
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use camphorwall::EndpointId;
 use futures_util::future::{self, Either};
 
@@ -42,6 +43,9 @@
 /// Size of an answer to a watch above which the rest of it is not read.
 const MAX_WATCH_BYTES: usize = 64 * 1024;
 
+/// Maximum number of failures in a row of one page of a list.
+const MAX_PAGE_FAILURES: u32 = 10;
+
 /// Pause after a failed call to the store.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -166,7 +170,12 @@
 async fn list_endpoints(entry: &Entry) -> Result<StoreUpdate, StoreError> {
     let known_to = Moment::now();
     let prefix = entry.dialect.store.endpoints_prefix;
-    let (keys, revision) = list(entry, prefix, apply_endpoint).await?;
+    let (items, revision) = list(entry, prefix).await?;
+    let mut keys = Vec::with_capacity(items.len());
+    for item in items {
+        apply_endpoint(entry, &item);
+        keys.push(item.key);
+    }
     let ids: Vec<_> = keys
         .iter()
         .filter_map(|key| endpoint_id(entry, key))
@@ -180,26 +189,31 @@
     })
 }
 
-/// Reads all items below a prefix; returns their keys and the revision at which the list began.
-pub(super) async fn list(
-    entry: &Entry,
-    prefix: &str,
-    apply: fn(&Entry, &StoreItem),
-) -> Result<(Vec<Box<str>>, u64), StoreError> {
+/// Reads all items below a prefix; returns them with the revision at which the list began. A page that fails is requested
+/// again, so that a long list doesn't begin anew.
+pub(super) async fn list(entry: &Entry, prefix: &str) -> Result<(Vec<StoreItem>, u64), StoreError> {
     let store = &entry.dialect.store;
-    let mut keys: Vec<Box<str>> = Vec::new();
+    let mut items: Vec<StoreItem> = Vec::new();
     let mut first_revision = None;
+    let mut failures = 0;
     loop {
-        let path = (store.list_path)(prefix, keys.last().map(AsRef::as_ref));
-        let body = call_store(entry, &path, Duration::ZERO, usize::MAX).await?;
-        let page: Page = (store.page)(&body.bytes).map_err(StoreError::Failed)?;
+        let path = (store.list_path)(prefix, items.last().map(|item| &*item.key));
+        let page = call_store(entry, &path, Duration::ZERO, usize::MAX).await;
+        let page: Page = match page {
+            Ok(body) => (store.page)(&body.bytes).map_err(StoreError::Failed)?,
+            Err(StoreError::Failed(error)) if !items.is_empty() && failures < MAX_PAGE_FAILURES => {
+                failures += 1;
+                tracing::info!(event = "list_page_failed", items = items.len(), error);
+                compio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        failures = 0;
         let revision = *first_revision.get_or_insert(page.revision);
-        for item in page.items {
-            apply(entry, &item);
-            keys.push(item.key);
-        }
+        items.extend(page.items);
         if !page.has_more {
-            return Ok((keys, revision));
+            return Ok((items, revision));
         }
     }
 }
@@ -263,7 +277,7 @@
         if item.key.starts_with(store.endpoints_prefix) {
             apply_endpoint(entry, item);
         } else if item.key.starts_with(store.configuration_prefix) {
-            apply_configuration(entry, item);
+            apply_configuration(entry, item).await;
         }
     }
     let elapsed = Moment::now().since(sent_at);
@@ -326,7 +340,7 @@
             entry,
             &StoreItem {
                 key: item.key,
-                value: item.value,
+                value: item.value.map(Bytes::from),
                 revision: item.revision,
             },
         );
--- a/crates/camphorwall-direct/src/store/mirror.rs
+++ b/crates/camphorwall-direct/src/store/mirror.rs
@@ -38,7 +38,7 @@
         if known.is_none_or(|known| known.revision < item.revision) {
             let changed = ChangedItem {
                 key: item.key.clone(),
-                value: item.value.clone(),
+                value: item.value.as_ref().map(|value| value.to_vec()),
                 revision: item.revision,
             };
             self.registrations.insert(item.key.clone(), changed);
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -21,7 +21,7 @@
 #[cfg(test)]
 mod tracker_tests;
 
-pub(crate) use configuration::keep_configuration;
+pub(crate) use configuration::{ParsedRoutes, keep_configuration};
 pub(crate) use follow::follow;
 pub(crate) use mirror::StoreMirror;
 pub(crate) use readers::{CentreKey, Neighbour, centre_key};
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -101,6 +101,7 @@
             })
         },
         configuration: |_, _| None,
+        route: |_| Err("no route".into()),
         endpoint: |_, _| Err("no endpoint".into()),
     },
 };
