Answer the requests that are left at the end of a planned stop

Report of another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut without an answer at its end, among them some that may not be repeated. It happened here.

Cause: at the end of the shutdown time the process closed its connections, whatever still waited on them.

Change: at that moment each request whose answer has not begun gets its final one: 503 if it has not been sent, 502 if it may have run. An answer that has begun can't be completed by other bytes; it breaks off as before.

The test `a_request_taken_late_in_a_planned_stop_is_answered_before_the_process_ends` (an order and a lookup, at a replica that never answers) saw a closed connection before.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use camphorwall::{BoxedBody, LogRing, ServiceId, TaskGroup, empty_body};
+use camphorwall::{
+    BoxedBody, LogRing, ServiceId, Stop, StopHandle, TaskGroup, empty_body, stop_pair,
+};
 use http::StatusCode;
 use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
@@ -121,6 +123,9 @@
     phase: Cell<LifecyclePhase>,
     /// End of the shutdown time, once the stop command has come.
     ends_at: Cell<Option<Moment>>,
+    /// Called at the end of the shutdown time, when the remaining requests get their final answers.
+    pub(crate) ending: Stop,
+    end: StopHandle,
     /// Moving average of the time that a stream takes for one token.
     time_per_token: Cell<Option<Duration>>,
     pub(crate) active_requests: Cell<usize>,
@@ -187,6 +192,7 @@
         let bounds = retry_bounds(&settings);
         let centre = centre_key(&settings.data_centre);
         let peers = Peers::new(settings.peer_address, centre, &settings.seeds, incarnation);
+        let (end, ending) = stop_pair();
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             settings_path,
@@ -219,6 +225,8 @@
             was_ready: Cell::new(false),
             phase: Cell::new(LifecyclePhase::Serving),
             ends_at: Cell::new(None),
+            ending,
+            end,
             time_per_token: Cell::new(None),
             active_requests: Cell::new(0),
         })
@@ -532,7 +540,8 @@
         self.settings().bounds.key_withdrawal() + PEER_MARGIN
     }
 
-    /// Passes through the phases of the shutdown; returns once no request is active or the shutdown time has passed.
+    /// Passes through the phases of the shutdown; returns once no request is active or the shutdown time has passed. The
+    /// requests that are left then get their final answers.
     pub(crate) async fn leave(&self) {
         let deadline = Moment::now()
             + self
@@ -551,5 +560,6 @@
             compio::time::sleep(DRAIN_PERIOD).await;
         }
         self.phase.set(LifecyclePhase::Refusing);
+        self.end.stop();
     }
 }
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -1,9 +1,10 @@
 //! Admits one caller's request and hands it to the handler for its kind of route.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use camphorwall::{BoxedBody, RequestEnd, ServiceId, collect_body};
+use futures_util::future::{self, Either};
 use http::{HeaderValue, Method, Request, StatusCode, Uri, Version, header};
 use hyper::{Response, body::Incoming};
 use xxhash_rust::xxh3::Xxh3;
@@ -154,7 +155,16 @@
     let facts = (entry.dialect.request_facts)(&parts);
     let id = facts.request_id.as_deref().unwrap_or("none");
     let request_log = Rc::new(RequestLog::new(&entry, id, arrived_at));
-    let answered = serve(&entry, parts, body, facts, &request_log).await;
+    let serving = pin!(serve(&entry, parts, body, facts, &request_log));
+    let ending = pin!(entry.ending.called());
+    let answered = match future::select(serving, ending).await {
+        Either::Left((answered, _)) => answered,
+        // The process ends before the answer of the endpoint.
+        Either::Right(_) if request_log.runs.get() > 0 => {
+            Err(Refusal::may_have_run(RequestEnd::Stopping))
+        }
+        Either::Right(_) => Err(Refusal::not_run(RequestEnd::Stopping, Duration::ZERO)),
+    };
     let is_refused = answered.is_err();
     let mut response = answered.unwrap_or_else(|refusal| {
         request_log.end(refusal.status.as_u16(), refusal.reason, 0);
