--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -219,16 +219,13 @@
 }
 
 /// Waits for changes of any item in the store; of the endpoints alone while a configuration is being read, and until all
-/// changes of endpoints before it are known, since the answer would contain it once more.
+/// changes of endpoints up to then are known, since the answer would contain the configuration once more.
 async fn watch(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
     let tracker = entry.tracker.borrow();
     let confirmed_to = tracker.confirmed_to().filter(|_| !tracker.needs_read());
-    let read_revision = tracker.read_revision();
     drop(tracker);
     match confirmed_to {
-        Some(confirmed_to) if revision >= read_revision => {
-            watch_all(entry, revision, confirmed_to).await
-        }
+        Some(confirmed_to) if revision >= confirmed_to => watch_all(entry, confirmed_to).await,
         Some(confirmed_to) => {
             let update = watch_endpoints(entry, revision, NO_WAIT).await?;
             // The call was sent after the configuration was read, so its answer has all changes up to then.
@@ -253,22 +250,18 @@
 
 /// Waits for changes of any item. An answer that is too large is not read: it may contain several versions of the
 /// configuration, of which only the newest is needed.
-async fn watch_all(
-    entry: &Entry,
-    revision: u64,
-    confirmed_to: u64,
-) -> Result<StoreUpdate, StoreError> {
+async fn watch_all(entry: &Entry, after: u64) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
     let wait = proof_wait(entry.registry.borrow().proof_age(sent_at));
-    let path = (store.watch_path)("", revision.min(confirmed_to), wait);
+    let path = (store.watch_path)("", after, wait);
     let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
     if !body.is_complete {
         let now = Moment::now();
-        entry.tracker.borrow_mut().note_change(confirmed_to, now);
+        entry.tracker.borrow_mut().note_change(after, now);
         entry.configuration_wanted.notify();
         return Ok(StoreUpdate {
-            revision,
+            revision: after,
             known_to: None,
         });
     }
@@ -285,7 +278,7 @@
     entry.tracker.borrow_mut().confirm(changes.revision);
     entry.registry.borrow_mut().prove(known_to);
     Ok(StoreUpdate {
-        revision: changes.revision.max(revision),
+        revision: changes.revision.max(after),
         known_to: Some(known_to),
     })
 }
