--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -166,13 +166,13 @@
 impl Configuration {
     /// Whether callers' keys belong to the same teams as in another configuration.
     pub(crate) fn has_same_keys(&self, other: &Self) -> bool {
-        let is_same = |(key, team): (&Box<str>, &Rc<Team>)| {
-            let other = other.keys.get(key);
-            other.is_some_and(|other| other.name == team.name)
-        };
+        let mut keys = self.keys.iter();
         self.has_teams == other.has_teams
             && self.keys.len() == other.keys.len()
-            && self.keys.iter().all(is_same)
+            && keys.all(|(key, team)| {
+                let other = other.keys.get(key);
+                other.is_some_and(|other| other.name == team.name)
+            })
     }
 }
 
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -122,6 +122,7 @@
 }
 
 /// Figures of a read for the log.
+#[derive(Clone, Copy)]
 pub(super) struct ReadFigures {
     pub(super) bytes: usize,
     /// When parsing began.
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -113,9 +113,10 @@
         match (update, source) {
             (Ok(update), _) => {
                 note_reads_store(&entry, source == Source::Store);
-                let mut mirror = entry.mirror.borrow_mut();
-                mirror.advance(update.revision, update.known_to);
-                drop(mirror);
+                entry
+                    .mirror
+                    .borrow_mut()
+                    .advance(update.revision, update.known_to);
                 if is_store_unreachable {
                     tracing::info!(event = "store_regained", revision = update.revision);
                 }
@@ -221,16 +222,14 @@
 /// Waits for changes of any item in the store; of the endpoints alone while a configuration is being read, and until all
 /// changes of endpoints up to then are known, since the answer would contain the configuration once more.
 async fn watch(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
-    let tracker = entry.tracker.borrow();
-    let confirmed_to = tracker.confirmed_to().filter(|_| !tracker.needs_read());
-    drop(tracker);
-    match confirmed_to {
-        Some(confirmed_to) if revision >= confirmed_to => watch_all(entry, confirmed_to).await,
-        Some(confirmed_to) => {
+    let newest_to = entry.tracker.borrow().newest_to();
+    match newest_to {
+        Some(newest_to) if revision >= newest_to => watch_all(entry, newest_to).await,
+        Some(newest_to) => {
             let update = watch_endpoints(entry, revision, NO_WAIT).await?;
             // The call was sent after the configuration was read, so its answer has all changes up to then.
             Ok(StoreUpdate {
-                revision: update.revision.max(confirmed_to),
+                revision: update.revision.max(newest_to),
                 ..update
             })
         }
--- a/crates/camphorwall-direct/src/store/tracker.rs
+++ b/crates/camphorwall-direct/src/store/tracker.rs
@@ -33,6 +33,11 @@
         self.confirmed_to
     }
 
+    /// Revision up to which the configuration that was read last is the newest; `None` while a newer one must be read.
+    pub(crate) fn newest_to(&self) -> Option<u64> {
+        self.confirmed_to.filter(|_| !self.needs_read())
+    }
+
     /// Revision after which a configuration was written that hasn't been read yet.
     pub(crate) fn changed_after(&self) -> Option<u64> {
         self.changed_after.filter(|_| self.is_outdated())
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -52,7 +52,7 @@
     tracker.note_change(12, at_ms(1_500));
     assert_eq!(
         tracker.outdated_for(at_ms(2_000)),
-        Some(Duration::from_millis(1_000))
+        Some(Duration::from_secs(1))
     );
 }
 
