Read the configuration service's answer for as long as it arrives

Large tables over a slow link would never have come into force.

Change: one limit until the head of the answer, one on the silence between two parts.

--- a/crates/camphorwall-daemon/src/published/reader.rs
+++ b/crates/camphorwall-daemon/src/published/reader.rs
@@ -6,9 +6,9 @@
     time::{Duration, Instant},
 };
 
-use camphorwall::Document;
+use camphorwall::{Document, RpcClient};
 use futures_util::{
-    FutureExt as _,
+    FutureExt as _, StreamExt as _,
     future::{Either, select},
 };
 use serde::Deserialize;
@@ -18,7 +18,7 @@
 /// How long the service waits for a change before it answers.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// How long an answer may take, in addition to this wait.
+/// How long an answer may take until its head, in addition to this wait, and without further bytes of its body.
 const WATCH_MARGIN: Duration = Duration::from_secs(3);
 
 /// Pause between two reads, so that several changes come in one answer.
@@ -97,17 +97,42 @@
         "/v1/documents?after={after}&wait_ms={}",
         WATCH_WAIT.as_millis()
     );
-    let exchange = async {
-        let response = follower
-            .client
-            .get(service, &path)
-            .await
-            .map_err(|error| error.to_string())?;
-        let bytes = response.bytes().await.map_err(|error| error.to_string())?;
-        serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+    let timeouts = AnswerTimeouts {
+        head: WATCH_WAIT + WATCH_MARGIN,
+        silence: WATCH_MARGIN,
     };
-    let answer = compio::time::timeout(WATCH_WAIT + WATCH_MARGIN, exchange).await;
-    answer.map_err(|_| "no answer from the configuration service in time".to_owned())?
+    let bytes = read_answer(&follower.client, service, &path, timeouts).await?;
+    serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+}
+
+/// Time limits of an answer. There is none for the whole, since its size grows with the documents.
+#[derive(Clone, Copy, Debug)]
+struct AnswerTimeouts {
+    head: Duration,
+    /// Maximum time without further bytes.
+    silence: Duration,
+}
+
+async fn read_answer(
+    client: &RpcClient,
+    service: SocketAddr,
+    path: &str,
+    timeouts: AnswerTimeouts,
+) -> Result<Vec<u8>, String> {
+    let response = compio::time::timeout(timeouts.head, Box::pin(client.get(service, path))).await;
+    let response =
+        response.map_err(|_| "no answer from the configuration service in time".to_owned())?;
+    let mut chunks = response.map_err(|error| error.to_string())?.bytes_stream();
+    let mut bytes = Vec::new();
+    loop {
+        let next = compio::time::timeout(timeouts.silence, chunks.next()).await;
+        let next = next.map_err(|_| {
+            let received = bytes.len();
+            format!("the configuration service stopped sending after {received} bytes")
+        })?;
+        let Some(chunk) = next else { return Ok(bytes) };
+        bytes.extend_from_slice(&chunk.map_err(|error| error.to_string())?);
+    }
 }
 
 #[cfg(test)]
