Receive heartbeats of any size that a datagram can have

A heartbeat of more than 16 KiB was cut by its receiver, could not be read and was dropped, so that an entry with many runs, teams or waiting requests would have counted as silent at all others: its share of the quotas withheld, its placements unknown.

Change: the buffer holds the largest datagram, and is used again for the next one.

The test `an_entry_with_much_to_report_does_not_count_as_silent` failed before.

--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -40,8 +40,9 @@
 /// Time without a heartbeat after which a peer is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(15);
 
-/// Maximum size of a datagram that is read.
-const MAX_HEARTBEAT_BYTES: usize = 16 * 1024;
+/// Maximum size of a UDP datagram. Heartbeats grow with the runs, teams and results that they report; a receiver with a
+/// smaller buffer would take the sender for silent.
+const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
 
 /// Maximum number of peer addresses in a heartbeat.
 const MAX_REPORTED_PEERS: usize = 16;
@@ -380,11 +381,13 @@
 
 /// Receives heartbeats until the entry's tasks are dropped.
 pub(crate) async fn receive_heartbeats(entry: Rc<Entry>, socket: UdpSocket) {
+    let mut buffer = Vec::with_capacity(MAX_HEARTBEAT_BYTES);
     loop {
-        let buffer = Vec::with_capacity(MAX_HEARTBEAT_BYTES);
+        buffer.clear();
         let received = socket.recv_from(buffer).await;
+        buffer = received.1;
         match received.0 {
-            Ok((_, from)) => match postcard::from_bytes::<Heartbeat>(&received.1) {
+            Ok((_, from)) => match postcard::from_bytes::<Heartbeat>(&buffer) {
                 Ok(heartbeat) => apply_heartbeat(&entry, from, heartbeat),
                 Err(error) => tracing::debug!(event = "heartbeat_unreadable", %from, %error),
             },
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/peers_tests.rs
@@ -1,9 +1,13 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use compio::net::UdpSocket;
 
 use crate::{
     clock::Moment,
     loads::{Loads, Run, Work},
-    peers::{Heartbeat, Peers, apply_heartbeat, changes_interval, heartbeat_period},
+    peers::{
+        Heartbeat, Peers, apply_heartbeat, changes_interval, heartbeat_period, receive_heartbeats,
+    },
     placement::{QueueRank, ReportedWaiter, scheduling_round},
     quota::Quotas,
     testing::{at_ms, entry_with_empty_dialect, team, wait_limits_until},
@@ -188,13 +192,8 @@
     assert!(large <= 1_400, "{large}");
 }
 
-/// The store turns one entry away, so that it can't prove its keys, while it serves the others. A caller that is refused
-/// here is served there at once.
-#[test]
-fn a_refused_caller_is_told_to_come_back_at_once_if_a_peer_serves() {
-    let entry = entry_with_empty_dialect();
-    assert!(!entry.retry_elsewhere_after().is_zero());
-    let heartbeat = |sequence, is_serving| Heartbeat {
+fn heartbeat(sequence: u64, is_serving: bool, waiting: Vec<ReportedWaiter>) -> Heartbeat {
+    Heartbeat {
         incarnation: 1,
         is_ending: false,
         sequence,
@@ -206,13 +205,49 @@
         accounts: Vec::new(),
         work: Loads::default().report_all(),
         results: Vec::new(),
-        waiting: Vec::new(),
+        waiting,
         leaving: Vec::new(),
         suspects: Vec::new(),
+    }
+}
+
+#[compio::test]
+async fn an_entry_with_much_to_report_does_not_count_as_silent() {
+    let entry = entry_with_empty_dialect();
+    let bind = async || UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let (socket, peer) = (bind().await, bind().await);
+    let address = socket.local_addr().expect("an address");
+    let receiving = receive_heartbeats(Rc::clone(&entry), socket);
+    entry.tasks.spawn(receiving);
+    let waiter = || ReportedWaiter {
+        service: u64::MAX,
+        needs_prefill: true,
+        is_late: true,
+        priority: u32::MAX,
+        waited_ms: u32::MAX,
     };
+    let waiting = (0..2_000).map(|_| waiter()).collect();
+    let bytes = postcard::to_stdvec(&heartbeat(1, true, waiting)).expect("bytes");
+    assert!(bytes.len() > 40_000, "{} bytes", bytes.len());
+    peer.send_to(bytes, address).await.0.expect("a datagram");
+    for _ in 0..100 {
+        if entry.peers.borrow().is_any_serving(Moment::now()) {
+            return;
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the heartbeat was not received");
+}
+
+/// The store turns one entry away, so that it can't prove its keys, while it serves the others. A caller that is refused
+/// here is served there at once.
+#[test]
+fn a_refused_caller_is_told_to_come_back_at_once_if_a_peer_serves() {
+    let entry = entry_with_empty_dialect();
+    assert!(!entry.retry_elsewhere_after().is_zero());
     let from = SocketAddr::from(([10, 0, 0, 2], 7_500));
-    apply_heartbeat(&entry, from, heartbeat(1, true));
+    apply_heartbeat(&entry, from, heartbeat(1, true, Vec::new()));
     assert!(entry.retry_elsewhere_after().is_zero());
-    apply_heartbeat(&entry, from, heartbeat(2, false));
+    apply_heartbeat(&entry, from, heartbeat(2, false, Vec::new()));
     assert!(!entry.retry_elsewhere_after().is_zero());
 }
