Keep the limits of calls to the store and to readers in one place

Both kinds of calls, their time limits and their sizes are now in `store/call.rs`. No limit is changed.

Tried beside it and left: a receive buffer of 20 ms of the link, so that a large answer holds other packets up less.

--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -6,7 +6,14 @@
 use http::{HeaderMap, Request, StatusCode, header};
 use strum::Display;
 
-use crate::{clock::Moment, upstream};
+use crate::{clock::Moment, entry::Entry, upstream};
+
+/// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Timeout of a reader's own work on a follower's call, beyond the wait for changes, and of each further part of its
+/// answer.
+const READER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum size of an answer that is read.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -36,14 +43,45 @@
     }
 }
 
-/// Time limits of a call. There is none for the whole answer, since its size grows with the fleet and the configuration:
-/// an answer that takes longer than any fixed time would be requested anew for ever.
+/// Limits of a call. There is no time limit for the whole answer, since its size grows with the fleet and the
+/// configuration: an answer that takes longer than any fixed time would be requested anew for ever.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct CallTimeouts {
+struct CallLimits {
     /// Maximum time until the head of the answer, the wait for changes included.
-    pub(super) head: Duration,
+    head_timeout: Duration,
     /// Maximum time without further bytes of the body.
-    pub(super) silence: Duration,
+    silence_timeout: Duration,
+    /// Size above which the rest of the body is not read.
+    max_bytes: usize,
+}
+
+/// Calls the store, which may hold the call for a time. Reads no further than `max_bytes`.
+pub(super) async fn call_store(
+    entry: &Entry,
+    path: &str,
+    wait: Duration,
+    max_bytes: usize,
+) -> Result<CallBody, StoreError> {
+    let limits = CallLimits {
+        head_timeout: wait + ANSWER_TIMEOUT,
+        silence_timeout: ANSWER_TIMEOUT,
+        max_bytes,
+    };
+    call(entry.settings().store_address, path, limits).await
+}
+
+/// Calls a reader, which may hold the call for a time.
+pub(super) async fn call_reader(
+    reader: SocketAddr,
+    path: &str,
+    wait: Duration,
+) -> Result<CallBody, StoreError> {
+    let limits = CallLimits {
+        head_timeout: wait + READER_TIMEOUT,
+        silence_timeout: READER_TIMEOUT,
+        max_bytes: usize::MAX,
+    };
+    call(reader, path, limits).await
 }
 
 /// Body of an answer, or its beginning if it is larger than the call allows.
@@ -52,27 +90,22 @@
     pub(super) is_complete: bool,
 }
 
-/// Calls the store, or an entry that reads it, and returns the body of the answer. Reads no further than `max_bytes`.
-pub(super) async fn call(
-    store: SocketAddr,
-    path: &str,
-    timeouts: CallTimeouts,
-    max_bytes: usize,
-) -> Result<CallBody, StoreError> {
+/// Calls the store, or an entry that reads it, and returns the body of the answer.
+async fn call(store: SocketAddr, path: &str, limits: CallLimits) -> Result<CallBody, StoreError> {
     let began_at = Moment::now();
-    let mut answer = answer_head(store, path, timeouts.head).await?;
+    let mut answer = answer_head(store, path, limits).await?;
     let announced = announced_bytes(&answer.parts.headers);
     let mut body = BytesMut::new();
     loop {
-        if body.len().max(announced.unwrap_or(0)) > max_bytes {
+        if body.len().max(announced.unwrap_or(0)) > limits.max_bytes {
             return Ok(CallBody {
                 bytes: body.freeze(),
                 is_complete: false,
             });
         }
-        let next = compio::time::timeout(timeouts.silence, answer.body.next()).await;
+        let next = compio::time::timeout(limits.silence_timeout, answer.body.next()).await;
         let next = next.map_err(|_| {
-            let (received, silence) = (body.len(), timeouts.silence);
+            let (received, silence) = (body.len(), limits.silence_timeout);
             StoreError::Failed(format!(
                 "the answer of {store} stopped after {received} of {announced:?} bytes: nothing for {silence:?}"
             ))
@@ -98,12 +131,13 @@
 async fn answer_head(
     store: SocketAddr,
     path: &str,
-    timeout: Duration,
+    limits: CallLimits,
 ) -> Result<upstream::Answer, StoreError> {
     let request = Request::get(path)
         .header(header::HOST, store.to_string())
         .body(Bytes::new())
         .map_err(|error| StoreError::Failed(error.to_string()))?;
+    let timeout = limits.head_timeout;
     let answer = compio::time::timeout(timeout, upstream::send(store, request)).await;
     let answer = answer
         .map_err(|_| StoreError::Failed(format!("no answer of {store} within {timeout:?}")))??;
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -5,8 +5,8 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::{
-    call::StoreError,
-    follow::{RETRY_PAUSE, call_reader, choose_source, list},
+    call::{StoreError, call_reader},
+    follow::{RETRY_PAUSE, choose_source, list},
     readers::{Source, configuration_source},
     relay::{self, ConfigurationHead},
 };
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{self, Either};
 
 use super::{
-    call::{CallBody, CallTimeouts, StoreError, call},
+    call::{StoreError, call_reader, call_store},
     configuration::apply_configuration,
     readers::{LocalEntry, Neighbour, Source, source},
     relay::{self, ms},
@@ -27,16 +27,9 @@
 /// Pause after changes, so that several in quick succession arrive in one answer.
 pub(crate) const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 
-/// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Wait for changes of a call that should be answered at once.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
-/// Timeout of a reader's own work on a follower's call, beyond the wait for changes, and of each further part of its
-/// answer.
-const READER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
 
@@ -379,33 +372,6 @@
     }
 }
 
-/// Calls a reader, which may hold the call for a time.
-pub(super) async fn call_reader(
-    reader: SocketAddr,
-    path: &str,
-    wait: Duration,
-) -> Result<CallBody, StoreError> {
-    let timeouts = CallTimeouts {
-        head: wait + READER_TIMEOUT,
-        silence: READER_TIMEOUT,
-    };
-    call(reader, path, timeouts, usize::MAX).await
-}
-
-/// Calls the store, which may hold the call for a time.
-async fn call_store(
-    entry: &Entry,
-    path: &str,
-    wait: Duration,
-    max_bytes: usize,
-) -> Result<CallBody, StoreError> {
-    let timeouts = CallTimeouts {
-        head: wait + ANSWER_TIMEOUT,
-        silence: ANSWER_TIMEOUT,
-    };
-    call(entry.settings().store_address, path, timeouts, max_bytes).await
-}
-
 /// Applies a changed registration.
 fn apply_endpoint(entry: &Entry, item: &StoreItem) {
     let now = Moment::now();
