Prove keys by a digest of them

Found by reading the changes before: a follower took its keys for proved if it had read any configuration since the reader's keys had last changed. If a version in between, which the reader had skipped, had other keys, the follower would have trusted one that had been withdrawn again.

Change: readers tell a digest of the keys and their teams, and a follower compares its own. A configuration counts as the newest at least up to its own revision, so that a follower that gets it while its reader is still applying it doesn't ask twice.

The cases withdrawn, replaced and added of `the_proof_for_keys_waits_for_a_configuration_only_if_it_has_other_keys` are new.

--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -163,16 +163,22 @@
     pub default_cost: f64,
 }
 
+/// Digest of the callers' keys of a configuration and of the teams that they belong to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct KeysDigest(u128);
+
 impl Configuration {
-    /// Whether callers' keys belong to the same teams as in another configuration.
-    pub(crate) fn has_same_keys(&self, other: &Self) -> bool {
-        let mut keys = self.keys.iter();
-        self.has_teams == other.has_teams
-            && self.keys.len() == other.keys.len()
-            && keys.all(|(key, team)| {
-                let other = other.keys.get(key);
-                other.is_some_and(|other| other.name == team.name)
-            })
+    /// Digest of the callers' keys and their teams, whatever their order.
+    pub(crate) fn keys_digest(&self) -> KeysDigest {
+        let mut digest = u128::from(self.has_teams);
+        for (key, team) in &self.keys {
+            let mut hash = Xxh3::new();
+            hash.update(&key.len().to_le_bytes());
+            hash.update(key.as_bytes());
+            hash.update(team.name.as_str().as_bytes());
+            digest = digest.wrapping_add(hash.digest128());
+        }
+        KeysDigest(digest)
     }
 }
 
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::Moment,
-    configuration::{Configuration, Endpoint, EndpointIncarnation, Stage},
+    configuration::{Configuration, Endpoint, EndpointIncarnation, KeysDigest, Stage},
 };
 
 /// Time after the last failed call to the store in which a missing registration counts as expired rather than as
@@ -34,6 +34,7 @@
     configuration: Option<Rc<Configuration>>,
     /// Revision of the store at which the configuration in force was written.
     configuration_revision: u64,
+    keys_digest: KeysDigest,
     proved_at: Option<Moment>,
     /// Moment up to which no key is known to have been withdrawn. Later than `proved_at` if a newer configuration is known
     /// to have the same keys.
@@ -74,6 +75,12 @@
         self.configuration_revision
     }
 
+    /// Digest of the keys of the configuration in force.
+    #[must_use]
+    pub(crate) fn keys_digest(&self) -> KeysDigest {
+        self.keys_digest
+    }
+
     /// Puts a configuration in force unless one of the same or a newer version is; returns whether it did.
     pub(crate) fn apply_configuration(
         &mut self,
@@ -83,6 +90,7 @@
         let in_force = self.configuration.as_ref();
         let is_newer = in_force.is_none_or(|current| configuration.version > current.version);
         if is_newer {
+            self.keys_digest = configuration.keys_digest();
             self.configuration = Some(Rc::new(configuration));
             self.configuration_revision = revision;
         }
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -146,7 +146,7 @@
         Ok(configuration) => put_in_force(entry, configuration, item.revision, figures),
         Err(error) => {
             tracing::warn!(event = "configuration_unreadable", key = &*item.key, error);
-            entry.tracker.borrow_mut().note_read(item.revision, true);
+            entry.tracker.borrow_mut().note_read(item.revision);
         }
     }
 }
@@ -184,17 +184,12 @@
 ) {
     let version = configuration.version;
     let mut registry = entry.registry.borrow_mut();
-    let in_force = registry.configuration();
-    let has_same_keys = in_force.is_some_and(|current| current.has_same_keys(&configuration));
     let is_newer = registry.apply_configuration(configuration, revision);
     if let Some(configuration) = registry.configuration().filter(|_| is_newer) {
         let configuration = Rc::clone(configuration);
         entry.recent.borrow_mut().add(revision, configuration);
     }
-    entry
-        .tracker
-        .borrow_mut()
-        .note_read(revision, has_same_keys);
+    entry.tracker.borrow_mut().note_read(revision);
     tracing::info!(
         event = "configuration_read",
         version,
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -367,7 +367,7 @@
     } else {
         registry.prove(proved_at);
     }
-    if tracker.read_revision() >= reported.keys_revision {
+    if registry.keys_digest() == reported.keys_digest {
         registry.prove_keys(proved_at);
     }
 }
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::mirror::ChangedItem;
-use crate::{clock::Moment, entry::Entry};
+use crate::{clock::Moment, configuration::KeysDigest, entry::Entry};
 
 /// Maximum time for which a reader holds a follower's call.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -43,8 +43,8 @@
     pub(crate) confirmed_to: u64,
     /// Revision after which one was written that the reader hasn't read yet.
     pub(crate) changed_after: Option<u64>,
-    /// Revision of the first configuration with the same keys.
-    pub(crate) keys_revision: u64,
+    /// Digest of the keys of the reader's configuration in force.
+    pub(crate) keys_digest: KeysDigest,
     /// Time since the reader last proved that its configuration was the newest.
     pub(crate) proof_age_ms: u32,
 }
@@ -124,12 +124,13 @@
 /// What this entry knows of the newest configuration; `None` before the first read.
 fn reported_configuration(entry: &Entry, now: Moment) -> Option<ReportedConfiguration> {
     let tracker = entry.tracker.borrow();
-    let proof_age = entry.registry.borrow().proof_age(now)?;
+    let registry = entry.registry.borrow();
+    let proof_age = registry.proof_age(now)?;
     Some(ReportedConfiguration {
         revision: tracker.read_revision(),
         confirmed_to: tracker.confirmed_to()?,
         changed_after: tracker.changed_after(),
-        keys_revision: tracker.keys_revision(),
+        keys_digest: registry.keys_digest(),
         proof_age_ms: ms(proof_age),
     })
 }
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -16,7 +16,7 @@
         configuration::{ReadFigures, put_in_force, read_from_reader},
         follow::follow_reader,
     },
-    testing::{entry_with_empty_dialect, route},
+    testing::{entry_with_empty_dialect, route, team},
 };
 
 /// Starts a reader whose proof has the given age, and returns it with its address.
@@ -127,39 +127,41 @@
     assert!(follower_proof.expect("a proof") >= proof);
 }
 
-#[compio::test]
-async fn the_proof_for_keys_does_not_wait_for_a_configuration_with_the_same_keys() {
-    let (reader, address, _stop) = reader(Duration::ZERO).await;
-    let follower = entry_with_empty_dialect();
-    for (entry, revision, has_same_keys) in [
-        (&follower, 3, false),
-        (&reader, 3, false),
-        (&reader, 6, true),
-    ] {
-        entry
-            .tracker
-            .borrow_mut()
-            .note_read(revision, has_same_keys);
+/// A configuration with these keys of one team.
+fn keyed(version: u64, keys: &[&str]) -> Configuration {
+    let team = Rc::new(team(1.0, 1.0));
+    let keys = keys.iter().map(|key| ((*key).into(), Rc::clone(&team)));
+    Configuration {
+        has_teams: true,
+        keys: keys.collect(),
+        ..configuration(version, 0..4)
     }
-    register(&reader, 7);
-    assert!(follow_reader(&follower, address, 4).await.is_ok());
-    let now = Moment::now();
-    assert!(follower.tracker.borrow().is_outdated());
-    let registry = follower.registry.borrow();
-    assert!(registry.proof_age(now).is_none());
-    assert!(registry.keys_are_fresh(now, Duration::from_secs(5)));
 }
 
+#[rstest]
+#[case::same_keys(&["a", "b"], true)]
+#[case::withdrawn(&["a"], false)]
+#[case::replaced(&["a", "c"], false)]
+#[case::added(&["a", "b", "c"], false)]
 #[compio::test]
-async fn keys_are_not_proved_while_a_configuration_with_other_keys_is_unread() {
+async fn the_proof_for_keys_waits_for_a_configuration_only_if_it_has_other_keys(
+    #[case] newer_keys: &[&str],
+    #[case] is_proved: bool,
+) {
     let (reader, address, _stop) = reader(Duration::ZERO).await;
     let follower = entry_with_empty_dialect();
-    follower.tracker.borrow_mut().note_read(3, false);
-    reader.tracker.borrow_mut().note_read(6, false);
+    put(&follower, keyed(1, &["a", "b"]), 3);
+    put(&reader, keyed(2, newer_keys), 6);
     register(&reader, 7);
     assert!(follow_reader(&follower, address, 4).await.is_ok());
+    let now = Moment::now();
+    assert!(follower.tracker.borrow().is_outdated());
     let registry = follower.registry.borrow();
-    assert!(!registry.keys_are_fresh(Moment::now(), Duration::from_secs(5)));
+    assert!(registry.proof_age(now).is_none());
+    assert_eq!(
+        registry.keys_are_fresh(now, Duration::from_secs(5)),
+        is_proved
+    );
 }
 
 #[compio::test]
--- a/crates/camphorwall-direct/src/store/tracker.rs
+++ b/crates/camphorwall-direct/src/store/tracker.rs
@@ -9,8 +9,6 @@
 pub(crate) struct ConfigurationTracker {
     /// Revision of the configuration that was read last.
     read_revision: u64,
-    /// Revision of the first configuration with the keys of the one that was read last.
-    keys_revision: u64,
     /// Revision up to which there is no configuration newer than the one that was read last; `None` before the first
     /// read.
     confirmed_to: Option<u64>,
@@ -25,10 +23,6 @@
         self.read_revision
     }
 
-    pub(crate) const fn keys_revision(&self) -> u64 {
-        self.keys_revision
-    }
-
     pub(crate) const fn confirmed_to(&self) -> Option<u64> {
         self.confirmed_to
     }
@@ -43,15 +37,10 @@
         self.changed_after.filter(|_| self.is_outdated())
     }
 
-    /// Records that a configuration was read.
-    pub(crate) fn note_read(&mut self, revision: u64, has_same_keys: bool) {
-        if revision <= self.read_revision {
-            return;
-        }
-        self.read_revision = revision;
-        if !has_same_keys {
-            self.keys_revision = revision;
-        }
+    /// Records that a configuration was read. It is the newest one at least up to its own revision.
+    pub(crate) fn note_read(&mut self, revision: u64) {
+        self.read_revision = self.read_revision.max(revision);
+        self.confirm(revision);
     }
 
     /// Records that the configuration that was read last is the newest one up to a revision.
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -5,7 +5,7 @@
 /// A tracker that read a configuration of revision 5, confirmed to be the newest up to revision 8.
 fn confirmed() -> ConfigurationTracker {
     let mut tracker = ConfigurationTracker::default();
-    tracker.note_read(5, false);
+    tracker.note_read(5);
     tracker.confirm(8);
     tracker
 }
@@ -31,7 +31,7 @@
         tracker.outdated_for(at_ms(1_300)),
         Some(Duration::from_millis(300))
     );
-    tracker.note_read(10, true);
+    tracker.note_read(10);
     tracker.confirm(11);
     assert!(!tracker.needs_read());
     assert_eq!(tracker.outdated_for(at_ms(1_300)), None);
@@ -57,13 +57,12 @@
 }
 
 #[test]
-fn the_revision_of_the_keys_stays_while_configurations_have_the_same_keys() {
+fn a_late_page_of_an_older_list_does_not_bring_its_revision_back() {
     let mut tracker = confirmed();
-    tracker.note_read(9, true);
-    assert_eq!((tracker.read_revision(), tracker.keys_revision()), (9, 5));
-    tracker.note_read(12, false);
-    assert_eq!(tracker.keys_revision(), 12);
-    // A page of an older list arrives late.
-    tracker.note_read(9, false);
-    assert_eq!((tracker.read_revision(), tracker.keys_revision()), (12, 12));
+    tracker.note_read(12);
+    tracker.note_read(9);
+    assert_eq!(
+        (tracker.read_revision(), tracker.confirmed_to()),
+        (12, Some(12))
+    );
 }
