Get configurations from the fastest reader of a data centre

Found by reading the change that passes configurations on: where one of the two readers of a data centre has a slow link (a data centre with one large entry, or after the loss of one), that reader and the entries that follow it read all of a large configuration from the store over slow links, though the other reader could pass it on.

Change: the source of configurations is chosen apart from that of registrations: the fastest reader, also for an entry that reads the store itself. The test of the choice has such a data centre; the code before took the store there.

--- a/crates/camphorwall-direct/src/store/readers.rs
+++ b/crates/camphorwall-direct/src/store/readers.rs
@@ -54,19 +54,33 @@
 /// number of readers for each data centre, the calls grow with the data centres, not with the entries. Those with the
 /// fastest links read it, since they pass what they read on to the others.
 pub(crate) fn source(local: LocalEntry, neighbours: &[Neighbour]) -> Source {
-    choose(local, neighbours).map_or(Source::Store, |reader| Source::Neighbour(reader.address))
+    let readers = ranked_readers(local, neighbours);
+    if readers.is_reader {
+        return Source::Store;
+    }
+    let reader = readers.usable.first();
+    reader.map_or(Source::Store, |reader| Source::Neighbour(reader.address))
 }
 
-/// Chooses the source from which an entry gets a configuration. An entry whose link is no faster than that of its
-/// followers passes no configurations on: each of them gets it from the store as fast.
+/// Chooses the source from which an entry gets a configuration, also one that reads the store itself: the reader with the
+/// fastest link if it is faster than the entry's own. With an equal one, the store is as fast.
 pub(crate) fn configuration_source(local: LocalEntry, neighbours: &[Neighbour]) -> Source {
-    let reader = choose(local, neighbours);
-    let reader = reader.filter(|reader| reader.link_mbps > local.link_mbps);
-    reader.map_or(Source::Store, |reader| Source::Neighbour(reader.address))
+    let readers = ranked_readers(local, neighbours).usable.into_iter();
+    let faster = readers.filter(|reader| reader.link_mbps > local.link_mbps);
+    // Of equal ones, the first in this entry's order.
+    let fastest = faster.rev().max_by_key(|reader| reader.link_mbps);
+    fastest.map_or(Source::Store, |reader| Source::Neighbour(reader.address))
 }
 
-/// The reader that an entry follows; `None` if it reads the store itself.
-fn choose(local: LocalEntry, neighbours: &[Neighbour]) -> Option<Neighbour> {
+/// The entries that should read the store for a data centre.
+struct RankedReaders {
+    /// Whether the local entry is one of them.
+    is_reader: bool,
+    /// The others that do read it, in the local entry's own order, which spreads the followers over them.
+    usable: Vec<Neighbour>,
+}
+
+fn ranked_readers(local: LocalEntry, neighbours: &[Neighbour]) -> RankedReaders {
     let local_name = local.address.to_string();
     let by_name = |one: &Neighbour| (one.address.to_string(), *one);
     let neighbours: HashMap<String, Neighbour> = neighbours.iter().map(by_name).collect();
@@ -77,12 +91,12 @@
     let mut readers = rendezvous_rank("readers", neighbours.keys().chain([&local_name]));
     readers.sort_by_key(|name| Reverse(link_mbps(name)));
     readers.truncate(READER_COUNT);
-    if readers.contains(&&local_name) {
-        return None;
-    }
-    // Each follower ranks the readers in its own order, which spreads the followers over them.
+    let is_reader = readers.contains(&&local_name);
     let ranked = rendezvous_rank(&local_name, readers);
     let ranked = ranked.into_iter().filter_map(|name| neighbours.get(name));
-    let mut usable = ranked.filter(|one| one.reads_store && !one.is_avoided);
-    usable.next().copied()
+    let usable = ranked.filter(|one| one.reads_store && !one.is_avoided);
+    RankedReaders {
+        is_reader,
+        usable: usable.copied().collect(),
+    }
 }
--- a/crates/camphorwall-direct/src/store/readers_tests.rs
+++ b/crates/camphorwall-direct/src/store/readers_tests.rs
@@ -126,6 +126,13 @@
     let fast = [neighbour(13, true), neighbour(26, true)];
     let from_fast = configuration_source(local_entry(1), &fast);
     assert!(matches!(from_fast, Source::Neighbour(_)));
+    // The only other reader with a fast link serves all, also the reader with a slow one.
+    let mut mixed: Vec<_> = (2..12).map(|number| neighbour(number, true)).collect();
+    mixed.push(neighbour(13, true));
+    for local in [1, 12] {
+        let fastest = Source::Neighbour(address(13));
+        assert_eq!(configuration_source(local_entry(local), &mixed), fastest);
+    }
     let equal: Vec<_> = (2..12).map(|number| neighbour(number, true)).collect();
     for local in [1, 12] {
         assert_eq!(
