--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -30,6 +30,10 @@
 /// Wait for changes of a call that should be answered at once.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
+/// Wait of a follower whose proof is stale, so that it soon notices a reader that is lost, and doesn't load one that has no
+/// newer proof itself.
+const STALE_WAIT: Duration = Duration::from_millis(100);
+
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
 
@@ -308,7 +312,7 @@
     let wait = if is_current || entry.tracker.borrow().needs_read() {
         WATCH_WAIT
     } else {
-        NO_WAIT
+        STALE_WAIT
     };
     let path = relay::changes_path(after, wait);
     let body = call_reader(reader, &path, wait).await?;
