--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -11,7 +11,7 @@
     call::{StoreError, call_reader, call_store},
     configuration::apply_configuration,
     readers::{LocalEntry, Neighbour, Source, source},
-    relay::{self, ms},
+    relay::{self, ceil_ms},
 };
 use crate::{
     clock::Moment,
@@ -337,7 +337,7 @@
     let waited = Duration::from_millis(response.waited_ms.into()).min(received_at.since(sent_at));
     let moment = |age_ms: u32| sent_at + waited - Duration::from_millis(age_ms.into());
     let known_to = moment(response.age_ms);
-    if response.age_ms > ms(STALE_PROOF_AGE) {
+    if response.age_ms > ceil_ms(STALE_PROOF_AGE) {
         let error = format!("the reader's knowledge is {} ms old", response.age_ms);
         return Err(StoreError::Failed(error));
     }
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -111,7 +111,7 @@
 }
 
 /// Milliseconds in a time, rounded up, so that an age is never reported too low.
-pub(super) fn ms(time: Duration) -> u32 {
+pub(super) fn ceil_ms(time: Duration) -> u32 {
     let ms = time.as_nanos().div_ceil(1_000_000);
     u32::try_from(ms).unwrap_or(u32::MAX)
 }
@@ -131,7 +131,7 @@
         confirmed_to: tracker.confirmed_to()?,
         changed_after: tracker.changed_after(),
         keys_digest: registry.keys_digest(),
-        proof_age_ms: ms(proof_age),
+        proof_age_ms: ceil_ms(proof_age),
     })
 }
 
@@ -148,10 +148,10 @@
     let response = ChangesResponse {
         revision: mirror.revision(),
         items,
-        age_ms: ms(age),
+        age_ms: ceil_ms(age),
         configuration,
         waited_ms: whole_ms(now.since(received_at)),
-        store_failed_ms: entry.registry.borrow().store_failed_age(now).map(ms),
+        store_failed_ms: entry.registry.borrow().store_failed_age(now).map(ceil_ms),
     };
     match postcard::to_stdvec(&response) {
         Ok(bytes) => Response::new(full_body(bytes)),
