--- a/crates/camphorwall-daemon/src/published/reader.rs
+++ b/crates/camphorwall-daemon/src/published/reader.rs
@@ -18,7 +18,7 @@
 /// How long the service waits for a change before it answers.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// How long an answer may take until its head, in addition to this wait, and without further bytes of its body.
+/// Timeout of the head of an answer, in addition to this wait, and idle timeout of its body.
 const WATCH_MARGIN: Duration = Duration::from_secs(3);
 
 /// Pause between two reads, so that several changes come in one answer.
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -43,8 +43,8 @@
     }
 }
 
-/// Limits of a call. There is no time limit for the whole answer, since its size grows with the fleet and the
-/// configuration: an answer that takes longer than any fixed time would be requested anew for ever.
+/// Limits of a call. There is no timeout for the complete response: its size grows with the fleet and the configuration,
+/// so a response that exceeds a fixed timeout once would exceed it at every retry.
 #[derive(Clone, Copy, Debug)]
 struct CallLimits {
     /// Maximum time until the head of the answer, the wait for changes included.
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -18,8 +18,7 @@
     entry::Entry,
 };
 
-/// How long a reader may hold a follower's call until it has read a newer configuration itself. After that the follower
-/// reads the store.
+/// Long-poll timeout of a follower's call for a newer configuration. When it expires, the follower reads the store.
 const READER_WAIT: Duration = Duration::from_millis(500);
 
 /// Number of routes that are parsed at once.
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -20,18 +20,18 @@
     registry::{EndpointChange, STALE_PROOF_AGE},
 };
 
-/// Age at which the proof that the configuration in force is the newest is renewed, and the longest time for which the
-/// store may hold a call. A dead connection is detected after this time plus the call's timeout.
+/// Maximum long-poll timeout of a call to the store, and age at which the proof that the configuration in force is the
+/// newest is renewed. A dead connection is detected after this time plus the call's timeout.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause after changes, so that several in quick succession arrive in one answer.
 pub(crate) const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 
-/// Wait for changes of a call that should be answered at once.
+/// Long-poll timeout of a call that should be answered at once.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
-/// Wait of a follower whose proof is stale, so that it soon notices a reader that is lost, and doesn't load one that has no
-/// newer proof itself.
+/// Long-poll timeout of a follower whose proof is stale: short enough to detect a lost reader soon, long enough not to
+/// flood a reader that has no newer proof.
 const STALE_WAIT: Duration = Duration::from_millis(100);
 
 /// Time for which this entry doesn't follow a reader that failed to answer it.
@@ -87,8 +87,8 @@
     }
 }
 
-/// How long the store may hold a call that renews the proof: until the proof is `WATCH_WAIT` old. An answer with changes
-/// proves only when its call was sent, so that a full wait after it would let the proof become twice as old.
+/// Long-poll timeout of a watch, such that the proof is renewed when it is `WATCH_WAIT` old. A response with changes only
+/// proves the state at the moment when the call was sent; with a full timeout after it, the age could reach twice that.
 pub(crate) fn proof_wait(proof_age: Option<Duration>) -> Duration {
     let left = proof_age.map(|age| WATCH_WAIT.saturating_sub(age));
     left.unwrap_or_default().max(NO_WAIT)
@@ -216,8 +216,9 @@
     }
 }
 
-/// Waits for changes of any item in the store; of the endpoints alone while a configuration is being read, and until all
-/// changes of endpoints up to then are known, since the answer would contain the configuration once more.
+/// Waits for changes in the store. Watches only the endpoints while a configuration is being read, and until all changes
+/// of endpoints up to the configuration's revision are known; a watch of all keys from an earlier revision would return
+/// the configuration again.
 async fn watch(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
     let newest_to = entry.tracker.borrow().newest_to();
     match newest_to {
@@ -244,8 +245,8 @@
     }
 }
 
-/// Waits for changes of any item. An answer that is too large is not read: it may contain several versions of the
-/// configuration, of which only the newest is needed.
+/// Waits for changes of any item. A response that is too large is abandoned, because it may contain several versions of
+/// the configuration, of which only the newest is needed.
 async fn watch_all(entry: &Entry, after: u64) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
--- a/crates/camphorwall-direct/src/store/recent.rs
+++ b/crates/camphorwall-direct/src/store/recent.rs
@@ -1,4 +1,4 @@
-//! Configurations that a reader has read lately, for the entries that follow it.
+//! Cache of the last configurations, from which a reader computes changes for its followers.
 
 use std::{collections::VecDeque, rc::Rc};
 
@@ -6,7 +6,7 @@
 
 use crate::{configuration::Configuration, configuration_change::ConfigurationChange};
 
-/// Number of configurations that are kept. Followers with an older one get all of the newest.
+/// Number of configurations that are kept. A follower with an older one gets the complete newest configuration.
 const KEPT_CONFIGURATIONS: usize = 4;
 
 /// A configuration, by the revision of the store at which it was written.
@@ -14,15 +14,15 @@
 struct KnownConfiguration {
     revision: u64,
     configuration: Rc<Configuration>,
-    /// Change from this configuration to the newest, once a follower has asked for it.
+    /// Change from this configuration to the newest, encoded at the first request.
     change: Option<Bytes>,
 }
 
-/// Configurations that were read lately, the newest last. They share the routes that are the same.
+/// The last configurations, ordered from oldest to newest. Unchanged routes are shared between them.
 #[derive(Debug, Default)]
 pub(crate) struct RecentConfigurations {
     known: VecDeque<KnownConfiguration>,
-    /// All of the newest configuration, once a follower has asked for it.
+    /// The complete newest configuration, encoded at the first request.
     whole: Option<Bytes>,
 }
 
