--- a/review/harness/bodies.rs
+++ b/review/harness/bodies.rs
@@ -160,7 +160,7 @@
     }
 }
 
-/// Runs an order for 30 to 150 ms, with 6 slots and a queue of 24.
+/// Runs an order for 60 to 240 ms, with 6 slots and a queue of 24.
 fn run_order(world: &World, replica: &Arc<Replica>, id: &str, bytes: usize, wire: &mut Wire) -> bool {
     world.fates.note(id, |fate| fate.is_passed_on = true);
     if replica.running.fetch_add(1, Ordering::SeqCst) >= 6 + 24 {
@@ -170,8 +170,8 @@
     if bytes > PART_BYTES {
         world.record.note(&format!("{id} with {bytes} bytes runs at {}", replica.id()));
     }
-    let work = id.bytes().fold(0, |sum, byte| (sum * 31 + u64::from(byte)) % 121);
-    thread::sleep(Duration::from_millis(30 + work));
+    let work = id.bytes().fold(0, |sum, byte| (sum * 31 + u64::from(byte)) % 181);
+    thread::sleep(Duration::from_millis(60 + work));
     replica.running.fetch_sub(1, Ordering::SeqCst);
     let fields = [("Request-Id", id), ("Server-Signature", &*replica.id())];
     wire.send(&answer(200, &fields, &[b'n'; 800])).is_ok()
