review: interim heads without end stop an entry

Case 2: a replica that sends "100" heads without end in place of an answer keeps the entry from all other work until it stops. Other endless bytes (a field without end, raw bytes, empty lines, a body) were tried and are cut off as they should be.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 2; TROUBLE=0 gives the new team a name without a space.
+# Case 2; TROUBLE=0 runs it without the faulty answers.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/release/camphorwall-platform ] || exit 2
-exec target/review/cases names review/2
+exec target/review/cases interim review/2
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 3; TROUBLE=0 runs it with a harmless request, EVENTS=0 with a crash before the first event.
+# Case 3; TROUBLE=0 gives the new team a name without a space.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/release/camphorwall-platform ] || exit 2
-exec target/review/cases harmful review/3
+exec target/review/cases names review/3
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod harmful;
 mod http;
+mod interim;
 mod names;
 mod replica;
 mod store;
@@ -96,6 +97,7 @@
     let code = match name.as_str() {
         "bodies" => bodies::run(&case),
         "harmful" => harmful::run(&case),
+        "interim" => interim::run(&case),
         "names" => names::run(&case),
         _ => case.cannot_run("there is no such case"),
     };
--- a/review/harness/names.rs
+++ b/review/harness/names.rs
@@ -115,6 +115,7 @@
         thread::sleep(PAUSE);
     }
     let new_served = new_answers.iter().filter(|status| **status == 200).count();
+    let new_unknown = new_answers.iter().filter(|status| **status == 401).count();
     case.record.note("all machines lose their processes and start again");
     entries.iter_mut().for_each(entry::Entry::kill);
     thread::sleep(Duration::from_secs(1));
@@ -128,7 +129,7 @@
     let served_after = after.iter().filter(|status| **status == 200).count();
     case.record.note(&format!("answers to the key that stays, after the start: {after:?}"));
     let what = format!(
-        "orders with the withdrawn key that ran, sent over {} ms after the acknowledgement: {} (none allowed); orders of the new team served: {new_served} of {}; after a start of all machines, orders with the key that stays served: {served_after} of {}",
+        "orders with the withdrawn key that ran, sent over {} ms after the acknowledgement: {} (none allowed); orders of the new team served: {new_served} of {}, answered 401: {new_unknown}; after a start of all machines, orders with the key that stays served: {served_after} of {}",
         REVOKE.as_millis(),
         late.len(),
         new_answers.len(),
