--- a/review/harness/interim.rs
+++ b/review/harness/endless.rs
@@ -1,4 +1,4 @@
-//! A replica sends interim heads without end instead of an answer, and the entry does nothing else meanwhile.
+//! A replica sends bytes without end instead of an answer, in a head or a body, and the entry does nothing else meanwhile.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -25,13 +25,15 @@
 const DEADLINE: Duration = Duration::from_millis(3_000);
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const SLACK: Duration = Duration::from_millis(500);
-/// When the faulty replica answers one order with interim heads, in seconds.
+/// When the faulty replica answers one order with bytes without end, in seconds: the first time interim heads, the second time
+/// blanks behind the size of a body's part.
 const FAULTS_S: [u64; 2] = [4, 24];
 /// The replica goes on until the caller closes, but no longer than this, so that the test ends.
 const LONGEST_FLOOD: Duration = Duration::from_secs(12);
 const LASTS: Duration = Duration::from_secs(44);
 /// An interim head.
 const INTERIM: &[u8] = b"HTTP/1.1 100 -\r\n\r\n";
+const BLANKS: &[u8] = b"                ";
 
 #[derive(Clone, Copy)]
 struct Fate {
@@ -96,11 +98,23 @@
     }
 
     fn flood(&self, replica: &Replica, id: &str, wire: &mut Wire) {
-        self.flooded.lock().unwrap().insert(id.to_owned());
-        self.record.note(&format!("{} answers {id} with interim heads", replica.id()));
-        let block = INTERIM.repeat(8_192);
+        let is_first = {
+            let mut flooded = self.flooded.lock().unwrap();
+            flooded.insert(id.to_owned());
+            flooded.len() == 1
+        };
+        let what = if is_first { "interim heads" } else { "blanks in a body" };
+        self.record.note(&format!("{} answers {id} with {what}", replica.id()));
+        let block = if is_first { INTERIM.repeat(8_192) } else { BLANKS.repeat(8_192) };
         let began_at = Instant::now();
         let mut sent = 0;
+        if !is_first {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: {}\r\nTransfer-Encoding: chunked\r\n\r\n5",
+                replica.id()
+            );
+            let _ = wire.send(head.as_bytes());
+        }
         let end = loop {
             if began_at.elapsed() > LONGEST_FLOOD {
                 break "the test ends it".to_owned();
@@ -111,7 +125,7 @@
             }
         };
         let (elapsed, megabytes) = (began_at.elapsed().as_millis(), sent >> 20);
-        self.record.note(&format!("{megabytes} MiB of interim heads in {elapsed} ms; {end}"));
+        self.record.note(&format!("{megabytes} MiB of {what} in {elapsed} ms; {end}"));
     }
 }
 
@@ -198,7 +212,7 @@
     let answered = late.iter().filter(|id| ran.contains(**id)).count();
     let unserved = fates.values().filter(|fate| fate.status == 0).count();
     let what = format!(
-        "{} orders, {} answered with interim heads; unanswered at their route's {} ms: {}, of these without an answer {} ms later: {} (at most half allowed), {answered} of them run and answered by their replica; {unserved} orders never answered; {unready} of some {} probes without a 200",
+        "{} orders, {} answered with bytes without end; unanswered at their route's {} ms: {}, of these without an answer {} ms later: {} (at most half allowed), {answered} of them run and answered by their replica; {unserved} orders never answered; {unready} of some {} probes without a 200",
         fates.len(),
         flooded.len(),
         TIMEOUT.as_millis(),
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,10 +2,10 @@
 //! and run to `record.txt` in the folder. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod bodies;
+mod endless;
 mod entry;
 mod harmful;
 mod http;
-mod interim;
 mod names;
 mod replica;
 mod store;
@@ -97,7 +97,7 @@
     let code = match name.as_str() {
         "bodies" => bodies::run(&case),
         "harmful" => harmful::run(&case),
-        "interim" => interim::run(&case),
+        "endless" => endless::run(&case),
         "names" => names::run(&case),
         _ => case.cannot_run("there is no such case"),
     };
