review: a follower keeps a replica that has left while its reader's way to the store is flaky

Case 4: the way of one entry to the store is cut for 200 ms once a second, and a replica of the service leaves without having said so.

--- a/review/harness/bodies.rs
+++ b/review/harness/bodies.rs
@@ -184,8 +184,9 @@
         name: "front-marousi-1",
         zone: "marousi",
         memory_mb: MEMORY_MB,
+        store: store.address,
     };
-    let mut entry = entry::start(&case.folder, &[machine], &store).remove(0);
+    let mut entry = entry::start(&case.folder, &[machine]).remove(0);
     let world = Arc::new(World {
         record: Arc::clone(&case.record),
         fates: Fates::default(),
--- a/review/harness/endless.rs
+++ b/review/harness/endless.rs
@@ -136,8 +136,9 @@
         name: "front-marousi-1",
         zone: "marousi",
         memory_mb: 110,
+        store: store.address,
     };
-    let entry = entry::start(&case.folder, &[machine], &store).remove(0);
+    let entry = entry::start(&case.folder, &[machine]).remove(0);
     let world = Arc::new(World {
         record: Arc::clone(&case.record),
         caller: entry.caller,
--- a/review/harness/entry.rs
+++ b/review/harness/entry.rs
@@ -8,13 +8,14 @@
     time::{Duration, Instant},
 };
 
-use crate::{http::Wire, store::Store};
+use crate::http::Wire;
 
 /// A front machine with its process.
 pub struct Entry {
     pub name: String,
     pub caller: SocketAddr,
     pub probe: SocketAddr,
+    pub peer: SocketAddr,
     folder: PathBuf,
     settings: PathBuf,
     child: Option<Child>,
@@ -26,6 +27,8 @@
     pub name: &'a str,
     pub zone: &'a str,
     pub memory_mb: u64,
+    /// Address of the store for this machine.
+    pub store: SocketAddr,
 }
 
 /// Loopback hosts of the machines, which no other test on this machine is likely to use.
@@ -52,7 +55,7 @@
 }
 
 /// Starts front machines, with the settings that the template gives for a small deployment.
-pub fn start(folder: &Path, machines: &[Machine], store: &Store) -> Vec<Entry> {
+pub fn start(folder: &Path, machines: &[Machine]) -> Vec<Entry> {
     let hosts: Vec<_> = (0..machines.len()).map(|number| host(10 + number)).collect();
     let ports = free_ports(&hosts);
     let seeds = hosts.iter().take(3);
@@ -62,6 +65,7 @@
             name,
             zone,
             memory_mb,
+            store,
         } = machine;
         let text = format!(
             r#"{{
@@ -91,7 +95,7 @@
             ports[3],
             ports[4],
             seeds.join(","),
-            store.address,
+            store,
         );
         let settings = folder.join(format!("{name}.json"));
         fs::write(&settings, text).expect("a settings file");
@@ -100,6 +104,7 @@
             name: (*name).to_owned(),
             caller: address(ports[0]),
             probe: address(ports[1]),
+            peer: address(ports[4]),
             folder: folder.to_owned(),
             settings,
             child: None,
@@ -141,6 +146,30 @@
         kilobytes.unwrap_or(0) * 1_024
     }
 
+    /// Addresses to which the process has connections.
+    pub fn connected_to(&self) -> Vec<SocketAddr> {
+        let Some(pid) = self.pid() else {
+            return Vec::new();
+        };
+        let files = fs::read_dir(format!("/proc/{pid}/fd")).into_iter().flatten().flatten();
+        let names = files.filter_map(|file| fs::read_link(file.path()).ok());
+        let own: Vec<String> = names
+            .filter_map(|name| {
+                let name = name.to_str()?.strip_prefix("socket:[")?;
+                Some(name.trim_end_matches(']').to_owned())
+            })
+            .collect();
+        let table = fs::read_to_string(format!("/proc/{pid}/net/tcp")).unwrap_or_default();
+        let rows = table.lines().skip(1).filter_map(|line| {
+            let fields: Vec<_> = line.split_whitespace().collect();
+            let (ip, port) = fields.get(2)?.split_once(':')?;
+            own.contains(&(*fields.get(9)?).to_owned()).then_some(())?;
+            let ip = u32::from_str_radix(ip, 16).ok()?.to_ne_bytes();
+            Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
+        });
+        rows.collect()
+    }
+
     /// SIGKILL, and the end of the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 mod bodies;
 mod endless;
 mod entry;
+mod flaky;
 mod harmful;
 mod http;
 mod names;
@@ -96,6 +97,7 @@
     };
     let run = || match name.as_str() {
         "bodies" => bodies::run(&case),
+        "flaky" => flaky::run(&case),
         "harmful" => harmful::run(&case),
         "endless" => endless::run(&case),
         "names" => names::run(&case),
--- a/review/harness/names.rs
+++ b/review/harness/names.rs
@@ -83,8 +83,9 @@
         name,
         zone,
         memory_mb: 110,
+        store: store.address,
     });
-    let mut entries = entry::start(&case.folder, &machines, &store);
+    let mut entries = entry::start(&case.folder, &machines);
     if !entries.iter().all(|entry| entry.wait_ready(Duration::from_secs(10))) {
         return case.cannot_run("the entries didn't become ready");
     }
--- a/review/harness/replica.rs
+++ b/review/harness/replica.rs
@@ -140,6 +140,14 @@
         }
     }
 
+    /// Ends the incarnation for good.
+    pub fn exit(&self) {
+        self.lives.lock().unwrap().store(false, Ordering::SeqCst);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Ends the incarnation at once: its connections break and new ones are refused. It is back, under a new id, after a
     /// pause; its entry in the store goes after three heartbeat intervals of silence.
     pub fn crash(self: &Arc<Self>, back_after: Duration) {
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -17,6 +20,15 @@
     history: Vec<(u64, String, Option<String>)>,
 }
 
+/// The way of one machine to the store.
+pub struct Door {
+    pub address: SocketAddr,
+    /// Whether the way is cut: connections are reset.
+    pub is_cut: AtomicBool,
+    /// Calls that wait for changes.
+    pub watches: AtomicU32,
+}
+
 /// A store whose items a case sets.
 pub struct Store {
     pub address: SocketAddr,
@@ -68,14 +80,31 @@
             state: Mutex::new(state),
             changed: Condvar::new(),
         });
-        let serving = Arc::clone(&store);
+        store.open(listener, address);
+        store
+    }
+
+    /// A way to the store of its own.
+    pub fn door(self: &Arc<Self>, host: &str) -> Arc<Door> {
+        let listener = TcpListener::bind((host, 0)).expect("a port for the store");
+        let address = listener.local_addr().expect("its address");
+        self.open(listener, address)
+    }
+
+    fn open(self: &Arc<Self>, listener: TcpListener, address: SocketAddr) -> Arc<Door> {
+        let door = Arc::new(Door {
+            address,
+            is_cut: AtomicBool::new(false),
+            watches: AtomicU32::new(0),
+        });
+        let (store, entered) = (Arc::clone(self), Arc::clone(&door));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = Arc::clone(&serving);
-                thread::spawn(move || store.serve(stream));
+                let (store, door) = (Arc::clone(&store), Arc::clone(&entered));
+                thread::spawn(move || store.serve(stream, &door));
             }
         });
-        store
+        door
     }
 
     pub fn put(&self, key: &str, value: &str) {
@@ -100,17 +129,23 @@
         self.changed.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, door: &Door) {
         let mut wire = Wire::new(stream);
         while let Ok(Some(head)) = wire.head() {
             let (_, target) = head.request();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let body = match path {
                 "/kv-range" => self.range(query),
-                "/kv-watch" => self.watch(query),
+                "/kv-watch" => {
+                    door.watches.fetch_add(1, Ordering::SeqCst);
+                    self.watch(query, door)
+                }
                 _ => String::new(),
             };
             let status = if body.is_empty() { 404 } else { 200 };
+            if door.is_cut.load(Ordering::SeqCst) {
+                return;
+            }
             let fields = [("Content-Type", "application/json")];
             // An answer takes some 4 ms.
             thread::sleep(Duration::from_millis(4));
@@ -133,7 +168,7 @@
         format!(r#"{{"items":[{items}],"has_more":false,"as_of":{revision}}}"#)
     }
 
-    fn watch(&self, query: &str) -> String {
+    fn watch(&self, query: &str, door: &Door) -> String {
         let prefix = query_field(query, "path_prefix").unwrap_or_default();
         let number = |name: &str| {
             let text = query_field(query, name).unwrap_or_default();
@@ -153,11 +188,12 @@
                 })
                 .collect();
             let now = Instant::now();
-            if !events.is_empty() || now >= until {
+            if !events.is_empty() || now >= until || door.is_cut.load(Ordering::SeqCst) {
                 let (events, revision) = (events.join(","), state.revision);
                 return format!(r#"{{"events":[{events}],"as_of":{revision}}}"#);
             }
-            let waited = self.changed.wait_timeout(state, until - now);
+            let wait = (until - now).min(Duration::from_millis(20));
+            let waited = self.changed.wait_timeout(state, wait);
             state = waited.unwrap().0;
         }
     }
