--- a/review/harness/endless.rs
+++ b/review/harness/endless.rs
@@ -32,7 +32,7 @@
 const LONGEST_FLOOD: Duration = Duration::from_secs(10);
 const LASTS: Duration = Duration::from_secs(45);
 /// An interim head.
-const INTERIM: &[u8] = b"HTTP/1.1 100 -\r\n\r\n";
+const INTERIM: &[u8] = b"HTTP/1.1 100 -\r\nA:1\r\nB:2\r\nC:3\r\nD:4\r\nE:5\r\nF:6\r\nG:7\r\nH:8\r\nI:9\r\nJ:0\r\n\r\n";
 const BLANKS: &[u8] = b"                ";
 
 #[derive(Clone, Copy)]
@@ -105,7 +105,7 @@
         };
         let what = if has_heads { "interim heads" } else { "blanks in a body" };
         self.record.note(&format!("{} answers {id} with {what}", replica.id()));
-        let block = if has_heads { INTERIM.repeat(8_192) } else { BLANKS.repeat(8_192) };
+        let block = if has_heads { INTERIM.repeat(2_048) } else { BLANKS.repeat(8_192) };
         let began_at = Instant::now();
         let mut sent = 0;
         if !has_heads {
