Bound what reading any connection costs the process

What callers saw: one of three plain endpoints answered three orders with bytes without end (interim heads, blanks behind a chunk's size).

Cause: the HTTP library reads on within one poll while the socket has bytes, and skips interim heads, blanks and leading zeros of a size without a limit. All tasks share one thread, so no time limit and no other request got a turn. The class: bytes were believed to end, or at least each poll.

Change: MeteredStream below the HTTP library, on every connection of an entry and of the daemons' servers, yields after 16 KiB and fails once over 128 KiB beyond twice the body taken so far have come. Heads of answers: 64 KiB. Plain answers that are read whole share an eighth of the memory. An answer of the store must arrive at 8 KiB/s on average. Empty lines in a stream are no events. Bodies that break off or never end count against their endpoint, also those of prefills.

Why: the turn ends by bytes, not by what the library makes of them, and a message is believed only as long as it leads to a body. A slow answer is not touched, as the bound has no time in it.

--- a/crates/camphorwall-daemon/src/endpoint/peer_api.rs
+++ b/crates/camphorwall-daemon/src/endpoint/peer_api.rs
@@ -6,11 +6,11 @@
     BoxedBody, Cancel, DocumentsQuery, KV_PATH, LEDGER_START_PATH, LedgerHandOver, LedgerKey,
     LedgerOffer, METHOD_CANCEL, METHOD_DOCUMENTS, METHOD_DRAIN, METHOD_LEDGER_HAND_OVER,
     METHOD_LEDGER_OFFER, METHOD_LEDGER_RECALL, METHOD_RENEW, METHOD_RESERVE, METHOD_STATUS,
-    PeerGuard, PeerRequest, RESUME_PATH, RPC_PATH, Renew, Reserve, RpcServer, START_PATH,
-    json_response,
+    PeerGuard, PeerRequest, RESUME_PATH, RPC_PATH, Renew, RequestBody, Reserve, RpcServer,
+    START_PATH, json_response,
 };
 use futures_util::{FutureExt as _, future::LocalBoxFuture};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 
 use super::daemon::EndpointDaemon;
 use crate::{operator::peer_handler, quarantine::add_quarantine_methods};
@@ -20,7 +20,8 @@
     pub(crate) fn peer_handler(
         daemon: &Rc<Self>,
         guard: PeerGuard,
-    ) -> impl Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static {
+    ) -> impl Fn(Request<RequestBody>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static
+    {
         let listed_address = daemon
             .published
             .listed_address_of(&daemon.settings.instance);
--- a/crates/camphorwall-daemon/src/entry.rs
+++ b/crates/camphorwall-daemon/src/entry.rs
@@ -9,15 +9,16 @@
 use camphorwall::{
     BoxedBody, DatagramQuery, DatagramReply, DocumentsQuery, Drained, EntrySettings, Explain,
     GrantRequest, InstanceRole, METHOD_DOCUMENTS, METHOD_DRAIN, METHOD_EXPLAIN, METHOD_GRANT,
-    METHOD_HISTOGRAMS, METHOD_STATUS, METHOD_TEAMS, PeerGuard, PeerRequest, RPC_PATH, RequestId,
-    RpcClient, RpcServer, Settings, Status, Stop, StopHandle, TaskGroup, json_response, stop_pair,
+    METHOD_HISTOGRAMS, METHOD_STATUS, METHOD_TEAMS, PeerGuard, PeerRequest, RPC_PATH, RequestBody,
+    RequestId, RpcClient, RpcServer, Settings, Status, Stop, StopHandle, TaskGroup, json_response,
+    stop_pair,
 };
 use compio::net::UdpSocket;
 use futures_util::{
     FutureExt as _,
     future::{LocalBoxFuture, select},
 };
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -258,7 +259,8 @@
     /// Handler of callers' requests.
     pub(crate) fn caller_handler(
         entry: &Rc<Self>,
-    ) -> impl Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static {
+    ) -> impl Fn(Request<RequestBody>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static
+    {
         let entry = Rc::clone(entry);
         move |request| answer_caller(Rc::clone(&entry), request).boxed_local()
     }
@@ -267,7 +269,8 @@
     pub(crate) fn peer_handler(
         entry: &Rc<Self>,
         guard: PeerGuard,
-    ) -> impl Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static {
+    ) -> impl Fn(Request<RequestBody>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static
+    {
         let listed_address = entry.published.listed_address_of(&entry.settings.instance);
         let guard = guard.listed_at(listed_address);
         let rpc = Rc::new(Self::rpc_server(entry));
--- a/crates/camphorwall-daemon/src/operator/peer_handler.rs
+++ b/crates/camphorwall-daemon/src/operator/peer_handler.rs
@@ -2,9 +2,9 @@
 
 use std::{rc::Rc, time::Instant};
 
-use camphorwall::{BoxedBody, PeerGuard, PeerRequest};
+use camphorwall::{BoxedBody, PeerGuard, PeerRequest, RequestBody};
 use futures_util::{FutureExt as _, future::LocalBoxFuture};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 
 use super::{READY_PATH, ready_response};
 use crate::metrics::METRICS_PATH;
@@ -16,7 +16,7 @@
     metrics: impl Fn() -> Response<BoxedBody> + 'static,
     is_ready: impl Fn() -> bool + 'static,
     answer_peer: impl Fn(PeerRequest) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static,
-) -> impl Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static {
+) -> impl Fn(Request<RequestBody>) -> LocalBoxFuture<'static, Response<BoxedBody>> + 'static {
     let guard = Rc::new(guard);
     move |request| {
         let answer = match request.uri().path() {
--- a/crates/camphorwall-daemon/src/published/reader_tests.rs
+++ b/crates/camphorwall-daemon/src/published/reader_tests.rs
@@ -1,10 +1,12 @@
 use std::io;
 
 use bytes::Bytes;
-use camphorwall::{HttpLimits, HttpServer, StopHandle, TaskGroup, stop_pair, stream_body};
+use camphorwall::{
+    HttpLimits, HttpServer, RequestBody, StopHandle, TaskGroup, stop_pair, stream_body,
+};
 use compio::net::TcpListener;
 use futures_util::stream;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 
 use super::*;
 
@@ -17,7 +19,7 @@
         limits: HttpLimits::default(),
     };
     let (stop, stopped) = stop_pair();
-    let handler = move |_: Request<Incoming>| {
+    let handler = move |_: Request<RequestBody>| {
         let parts = stream::iter(0..10).then(move |_| async move {
             compio::time::sleep(pause).await;
             Ok::<_, io::Error>(Bytes::from_static(b"part"))
--- a/crates/camphorwall-daemon/src/request/caller.rs
+++ b/crates/camphorwall-daemon/src/request/caller.rs
@@ -5,9 +5,11 @@
     time::{Duration, Instant},
 };
 
-use camphorwall::{BoxedBody, Problem, ProblemKind, RequestId, RouteKind, collect_body};
+use camphorwall::{
+    BoxedBody, Problem, ProblemKind, RequestBody, RequestId, RouteKind, collect_body,
+};
 use http::{HeaderValue, header::CONNECTION, request::Parts};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 
 use super::{
     admission::{Admission, admit},
@@ -28,7 +30,7 @@
 /// Serves one request of a caller and records its outcome.
 pub(crate) async fn answer_caller(
     entry: Rc<Entry>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<BoxedBody> {
     let request_id = RequestId::generate();
     let (head, body) = request.into_parts();
@@ -105,7 +107,7 @@
     request_id: RequestId,
     admission: Admission,
     head: Parts,
-    body: Incoming,
+    body: RequestBody,
 ) -> Result<Response<BoxedBody>, Problem> {
     let arrived_at = Instant::now();
     note_admission(entry, request_id, &admission, arrived_at);
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -20,6 +20,7 @@
     dialect::{Dialect, PromptPart},
     lengths::LengthModel,
     loads::Loads,
+    memory_pool::MemoryPool,
     metrics::{GaugeValues, Metrics},
     notices::Notices,
     notify::Notify,
@@ -38,11 +39,12 @@
     upstream::{Connection, SendError},
 };
 
-/// Memory of the process that is assumed if the settings contain no limit, in MiB.
-const DEFAULT_MEMORY_MB: usize = 256;
-
 /// Divisor of the process's memory that gives the part which bodies of requests may fill.
-const BODY_MEMORY_PART: usize = 4;
+const REQUEST_MEMORY_PART: usize = 4;
+
+/// Divisor of the process's memory that gives the part which answers may fill before they are passed on. The buffers of
+/// their connections come on top.
+const ANSWER_MEMORY_PART: usize = 8;
 
 /// Time after the stop command in which new requests are still served: the load balancer removes an instance after two
 /// failed probes, one a second.
@@ -87,7 +89,8 @@
 pub(crate) struct Entry {
     settings: RefCell<Rc<DirectSettings>>,
     settings_path: PathBuf,
-    body_bytes: Cell<usize>,
+    pub(crate) request_memory: Rc<MemoryPool>,
+    pub(crate) answer_memory: Rc<MemoryPool>,
     pub(crate) dialect: Dialect,
     pub(crate) registry: RefCell<Registry>,
     pub(crate) tracker: RefCell<ConfigurationTracker>,
@@ -134,19 +137,6 @@
 /// Counts a request as active until it is dropped.
 pub(crate) struct ActiveGuard(Rc<Entry>);
 
-/// Memory that is reserved for a body until it is dropped.
-pub(crate) struct BodyGuard {
-    entry: Rc<Entry>,
-    bytes: usize,
-}
-
-impl Drop for BodyGuard {
-    fn drop(&mut self) {
-        let held = self.entry.body_bytes.get();
-        self.entry.body_bytes.set(held - self.bytes);
-    }
-}
-
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
         self.0.active_requests.set(self.0.active_requests.get() - 1);
@@ -193,10 +183,12 @@
         let centre = centre_key(&settings.data_centre);
         let peers = Peers::new(settings.peer_address, centre, &settings.seeds, incarnation);
         let (end, ending) = stop_pair();
+        let memory_mb = settings.memory_mb;
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             settings_path,
-            body_bytes: Cell::new(0),
+            request_memory: MemoryPool::new(memory_mb, REQUEST_MEMORY_PART),
+            answer_memory: MemoryPool::new(memory_mb, ANSWER_MEMORY_PART),
             dialect,
             registry: RefCell::default(),
             tracker: RefCell::default(),
@@ -254,23 +246,11 @@
             .borrow_mut()
             .set_bounds(retry_bounds(&settings));
         self.peers.borrow_mut().add_seeds(&settings.seeds);
+        self.request_memory.set_memory(settings.memory_mb);
+        self.answer_memory.set_memory(settings.memory_mb);
         self.settings.replace(Rc::new(settings));
     }
 
-    /// Reserves memory for a body; `None` if the bodies held would exceed their part of the memory.
-    pub(crate) fn reserve_body(self: &Rc<Self>, bytes: usize) -> Option<BodyGuard> {
-        let held = self.body_bytes.get() + bytes;
-        let limit_mb = self.settings().memory_mb.unwrap_or(DEFAULT_MEMORY_MB) / BODY_MEMORY_PART;
-        if held > limit_mb * 1_024 * 1_024 {
-            return None;
-        }
-        self.body_bytes.set(held);
-        Some(BodyGuard {
-            entry: Rc::clone(self),
-            bytes,
-        })
-    }
-
     /// A uniform random number in 0..1.
     pub(crate) fn random(&self) -> f64 {
         self.random.borrow_mut().random()
--- a/crates/camphorwall-direct/src/events.rs
+++ b/crates/camphorwall-direct/src/events.rs
@@ -32,7 +32,7 @@
 pub(crate) struct Events {
     /// Bytes of the events.
     pub bytes: Bytes,
-    /// Number of events.
+    /// Number of events. Further empty lines between them are none.
     pub count: u32,
     /// Number of the last event that has one.
     pub last_id: Option<u64>,
@@ -56,16 +56,16 @@
         };
         let complete = self.held.split_to(end).freeze();
         let mut events = Events::default();
+        let mut has_lines = false;
         for line in complete.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             match line.strip_prefix(ID_FIELD) {
-                _ if line.is_empty() => events.count += 1,
+                _ if line.is_empty() => events.count += u32::from(has_lines),
                 Some(id) => events.last_id = parse(id).or(events.last_id),
                 None => {}
             }
+            has_lines = !line.is_empty();
         }
-        // The split yields an empty line after the last line end too, one more than there are events.
-        events.count -= 1;
         events.bytes = complete;
         Ok(events)
     }
--- a/crates/camphorwall-direct/src/events_tests.rs
+++ b/crates/camphorwall-direct/src/events_tests.rs
@@ -71,3 +71,15 @@
     let many = b"data: a\n\n".repeat(100_000);
     assert_eq!(splitter.push(&many).map(|events| events.count), Ok(100_000));
 }
+
+/// Guards against an endpoint that sends empty lines without end in place of events and counts as making progress.
+#[test]
+fn empty_lines_between_events_are_no_events() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter
+        .push(b"\n\n\nid: 1\ndata: a\n\n\n\r\n\n")
+        .expect("small events");
+    assert_eq!((events.count, events.last_id), (1, Some(1)));
+    let events = splitter.push(b"\n\n\n").expect("small events");
+    assert_eq!((events.count, &events.bytes[..]), (0, &b"\n\n\n"[..]));
+}
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -13,6 +13,7 @@
 mod events;
 mod lengths;
 mod loads;
+mod memory_pool;
 mod metrics;
 mod notices;
 mod notify;
@@ -58,6 +59,8 @@
 #[cfg(test)]
 mod loads_tests;
 #[cfg(test)]
+mod memory_pool_tests;
+#[cfg(test)]
 mod notices_tests;
 #[cfg(test)]
 mod peers_tests;
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -6,6 +6,7 @@
 use camphorwall::{BoxedBody, RequestEnd, full_body, stream_body};
 use futures_util::stream;
 use http::{StatusCode, header};
+use http_body_util::BodyExt as _;
 use hyper::Response;
 
 use crate::{
@@ -15,6 +16,7 @@
     connection_headers::remove_connection_headers,
     entry::Entry,
     loads::{Run, Work},
+    memory_pool::MemoryShare,
     outcome::{AttemptOutcome, Progress, attempt},
     placement::{Placement, candidates},
     refusal::Refusal,
@@ -23,8 +25,8 @@
     upstream::{Answer, AnswerBody},
 };
 
-/// Maximum size of an answer that is read completely before it is passed on. A larger one is passed on as it arrives;
-/// its request can't be retried when the answer breaks off.
+/// Maximum size of an answer that is read completely before it is passed on. A larger one, or any while answers fill their
+/// part of the memory, is passed on as it arrives; its request can't be retried when the answer breaks off.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// Maximum number of times that one request is sent again after an endpoint refused it.
@@ -178,7 +180,7 @@
 /// Reads an answer completely, so that the request can be retried if it breaks off; passes a large one on as it
 /// arrives.
 async fn deliver(
-    entry: &Entry,
+    entry: &Rc<Entry>,
     admitted: &Rc<Admitted>,
     placement: Placement,
     answer: Answer,
@@ -190,8 +192,9 @@
     } = answer;
     let now = Moment::now();
     let endpoint = placement.endpoint.id.clone();
+    let mut memory = entry.answer_memory.share();
     let start = body
-        .read_start(MAX_BUFFERED_BYTES)
+        .read_start(|bytes| bytes <= MAX_BUFFERED_BYTES && memory.grow_to(bytes))
         .await
         .inspect_err(|error| {
             tracing::info!(event = "answer_broke", request_id = admitted.id(), %endpoint, %error);
@@ -209,11 +212,21 @@
     if start.is_complete {
         parts.headers.remove(header::CONTENT_LENGTH);
         return Ok(Delivery {
-            response: Response::from_parts(parts, full_body(start.bytes)),
+            response: Response::from_parts(parts, held_body(start.bytes, memory)),
             is_complete: true,
         });
     }
-    let body = answer_stream(start.bytes, body, placement, Rc::clone(admitted));
+    let passed_on = PassedOnAnswer {
+        entry: Rc::clone(entry),
+        admitted: Rc::clone(admitted),
+        placement,
+        start: Some((start.bytes, memory)),
+        body,
+    };
+    let body = stream::unfold(passed_on, |mut answer| async move {
+        let chunk = answer.next().await?;
+        Some((chunk, answer))
+    });
     Ok(Delivery {
         response: Response::from_parts(parts, stream_body(body)),
         is_complete: false,
@@ -229,26 +242,47 @@
     }
 }
 
-/// Streams the start of an answer, then the rest as it arrives.
-fn answer_stream(
-    start: Bytes,
-    body: AnswerBody,
-    placement: Placement,
+/// A body that keeps its memory reserved until it has been sent.
+fn held_body(bytes: Bytes, memory: MemoryShare) -> BoxedBody {
+    // The closure only holds the reservation; a complete body has no errors.
+    Box::pin(full_body(bytes).map_err(move |error| {
+        let _held = &memory;
+        error
+    }))
+}
+
+/// An answer that is passed on as it arrives.
+struct PassedOnAnswer {
+    entry: Rc<Entry>,
     admitted: Rc<Admitted>,
-) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
-    let held = (Some(start), body, placement, admitted);
-    stream::unfold(held, |(start, mut body, placement, admitted)| async move {
-        if let Some(bytes) = start {
-            return Some((Ok(bytes), (None, body, placement, admitted)));
+    placement: Placement,
+    /// What has been read, until it is passed on, with its memory.
+    start: Option<(Bytes, MemoryShare)>,
+    body: AnswerBody,
+}
+
+impl PassedOnAnswer {
+    /// The next bytes; `None` at the end.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if let Some((bytes, _)) = self.start.take() {
+            return Some(Ok(bytes));
         }
-        let next = compio::time::timeout(admitted.time_left(), body.next()).await;
+        let next = compio::time::timeout(self.admitted.time_left(), self.body.next()).await;
         let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         match &next {
             Ok(Some(_)) => {}
-            Ok(None) => admitted.request_log.end(200, RequestEnd::Answered, 0),
-            Err(_) => admitted.request_log.end(200, RequestEnd::BrokeOff, 0),
+            Ok(None) => self.admitted.request_log.end(200, RequestEnd::Answered, 0),
+            Err(error) => self.note_broken_off(error),
         }
-        let chunk = next.transpose()?;
-        Some((chunk, (None, body, placement, admitted)))
-    })
+        next.transpose()
+    }
+
+    /// Records that the endpoint did not finish the answer, also if it sent bytes up to the deadline.
+    fn note_broken_off(&self, error: &io::Error) {
+        let endpoint = &self.placement.endpoint.id;
+        tracing::info!(event = "answer_broke", request_id = self.admitted.id(), %endpoint, %error);
+        let mut suspicions = self.entry.suspicions.borrow_mut();
+        suspicions.note_failure(endpoint, Moment::now());
+        self.admitted.request_log.end(200, RequestEnd::BrokeOff, 0);
+    }
 }
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -180,8 +180,17 @@
     let facts = (entry.dialect.answer_facts)(&answer.parts);
     note_answer_head(entry, endpoint, answer.parts.status, &facts);
     let body = answer.body.collect(MAX_PREFILL_BYTES).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            tracing::info!(event = "answer_broke", request_id = admitted.id(), endpoint = %endpoint.id, %error);
+            let mut suspicions = entry.suspicions.borrow_mut();
+            suspicions.note_failure(&endpoint.id, Moment::now());
+            return PrefillOutcome::Failed;
+        }
+    };
     let is_own = is_for_request(&facts, admitted);
-    let handle = body.ok().and_then(|body| (entry.dialect.prefilled)(&body));
+    let handle = (entry.dialect.prefilled)(&body);
     match handle {
         Some(handle) if answer.parts.status.is_success() && is_own => {
             let now = Moment::now();
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -3,10 +3,10 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, RequestEnd, ServiceId, collect_body};
+use camphorwall::{BoxedBody, RequestBody, RequestEnd, ServiceId, collect_body};
 use futures_util::future::{self, Either};
 use http::{HeaderValue, Method, Request, StatusCode, Uri, Version, header};
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -14,7 +14,8 @@
     clock::Moment,
     configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
     dialect::{ForwardingFacts, KvHandle, RequestFacts},
-    entry::{ActiveGuard, BodyGuard, Entry},
+    entry::{ActiveGuard, Entry},
+    memory_pool::MemoryShare,
     placement::QueueRank,
     plain,
     poison::{Block, Content, Fingerprint},
@@ -51,7 +52,7 @@
     pub(crate) start_by: Moment,
     pub(crate) request_log: Rc<RequestLog>,
     pub(crate) charge: Charge,
-    _body_guard: BodyGuard,
+    _body_memory: MemoryShare,
     /// Keeps a stopping entry alive until the answer has ended.
     _active: ActiveGuard,
 }
@@ -149,7 +150,7 @@
 }
 
 /// Answers one request.
-pub(crate) async fn answer(entry: Rc<Entry>, request: Request<Incoming>) -> Response<BoxedBody> {
+pub(crate) async fn answer(entry: Rc<Entry>, request: Request<RequestBody>) -> Response<BoxedBody> {
     let arrived_at = Moment::now();
     let (parts, body) = request.into_parts();
     let facts = (entry.dialect.request_facts)(&parts);
@@ -181,7 +182,7 @@
 async fn serve(
     entry: &Rc<Entry>,
     parts: http::request::Parts,
-    body: Incoming,
+    body: RequestBody,
     facts: RequestFacts,
     request_log: &Rc<RequestLog>,
 ) -> Result<Response<BoxedBody>, Refusal> {
@@ -192,8 +193,8 @@
         Err(_) => MAX_REFUSED_BODY_BYTES,
     };
     let announced = announced_bytes(&parts.headers).min(max_body_bytes);
-    let body_guard = entry.reserve_body(announced);
-    let body_guard = body_guard
+    let body_memory = entry.request_memory.reserve(announced);
+    let body_memory = body_memory
         .ok_or_else(|| Refusal::not_run(RequestEnd::BodiesFillMemory, TRANSIENT_RETRY_AFTER))?;
     // The body is read even before a refusal: closing a connection with unread bytes would reset it.
     let body = collect_body(body, max_body_bytes).await;
@@ -240,7 +241,7 @@
         team,
         content,
         request_log: Rc::clone(request_log),
-        _body_guard: body_guard,
+        _body_memory: body_memory,
         _active: active,
     };
     match admitted.route.kind {
--- a/crates/camphorwall-direct/src/run.rs
+++ b/crates/camphorwall-direct/src/run.rs
@@ -2,12 +2,11 @@
 
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
-use camphorwall::{HttpLimits, HttpServer, LogRing, TaskGroup, stop_pair};
+use camphorwall::{HttpLimits, HttpServer, LogRing, RequestBody, TaskGroup, stop_pair};
 use compio::net::{TcpListener, UdpSocket};
 use futures_channel::mpsc;
 use futures_util::{FutureExt as _, StreamExt as _};
 use http::Request;
-use hyper::body::Incoming;
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
@@ -109,7 +108,7 @@
         limits,
     };
     let served = Rc::clone(&entry);
-    let handler = move |request: Request<Incoming>| {
+    let handler = move |request: Request<RequestBody>| {
         request::answer(Rc::clone(&served), request).boxed_local()
     };
     servers.spawn(caller_server.serve(handler, stopped.clone()));
@@ -118,7 +117,7 @@
         limits: HttpLimits::default(),
     };
     let relaying = Rc::clone(&entry);
-    let handler = move |request: Request<Incoming>| {
+    let handler = move |request: Request<RequestBody>| {
         store::answer_follower(Rc::clone(&relaying), request).boxed_local()
     };
     servers.spawn(follower_server.serve(handler, stopped.clone()));
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -15,6 +15,10 @@
 /// answer.
 const READER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Minimum rate of an answer's body on average, beyond its first silence timeout. The slowest links of an instance are
+/// over a hundred times as fast; a sender of single bytes would never be silent.
+const MIN_BYTES_PER_S: u32 = 8 * 1024;
+
 /// Maximum size of an answer that is read.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
@@ -96,6 +100,7 @@
     let mut answer = answer_head(store, path, limits).await?;
     let announced = announced_bytes(&answer.parts.headers);
     let mut body = BytesMut::new();
+    let body_began_at = Moment::now();
     loop {
         if body.len().max(announced.unwrap_or(0)) > limits.max_bytes {
             return Ok(CallBody {
@@ -103,11 +108,14 @@
                 is_complete: false,
             });
         }
-        let next = compio::time::timeout(limits.silence_timeout, answer.body.next()).await;
+        let elapsed = Moment::now().since(body_began_at);
+        let left = time_left(body.len(), elapsed, limits.silence_timeout);
+        let next = compio::time::timeout(left, answer.body.next()).await;
         let next = next.map_err(|_| {
-            let (received, silence) = (body.len(), limits.silence_timeout);
+            let received = body.len();
             StoreError::Failed(format!(
-                "the answer of {store} stopped after {received} of {announced:?} bytes: nothing for {silence:?}"
+                "the answer of {store} stopped or is too slow after {received} of {announced:?} bytes in {elapsed:?}: \
+                 nothing for {left:?}, at least {MIN_BYTES_PER_S} B/s expected"
             ))
         })?;
         let Some(data) = next? else { break };
@@ -127,6 +135,17 @@
     })
 }
 
+/// Time until an answer's further bytes are due, given what has arrived so far.
+pub(super) fn time_left(
+    received_bytes: usize,
+    elapsed: Duration,
+    silence_timeout: Duration,
+) -> Duration {
+    let received_s = received_bytes as f64 / f64::from(MIN_BYTES_PER_S);
+    let due = silence_timeout + Duration::from_secs_f64(received_s);
+    due.saturating_sub(elapsed).min(silence_timeout)
+}
+
 /// Sends a call and returns its answer once the head of a successful one has arrived.
 async fn answer_head(
     store: SocketAddr,
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -10,6 +10,8 @@
 mod relay;
 mod tracker;
 
+#[cfg(test)]
+mod call_tests;
 #[cfg(test)]
 mod follow_tests;
 #[cfg(test)]
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -6,9 +6,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use camphorwall::{BoxedBody, empty_body, full_body};
+use camphorwall::{BoxedBody, RequestBody, empty_body, full_body};
 use http::{Request, StatusCode};
-use hyper::{Response, body::Incoming};
+use hyper::Response;
 use serde::{Deserialize, Serialize};
 
 use super::mirror::ChangedItem;
@@ -87,7 +87,7 @@
 /// Answers an entry that follows this one.
 pub(crate) async fn answer_follower(
     entry: Rc<Entry>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<BoxedBody> {
     let query = request.uri().query().unwrap_or_default();
     let (Some(after), Some(wait_ms)) = (number(query, "after"), number(query, "wait_ms")) else {
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -1,9 +1,9 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{HttpLimits, HttpServer, StopHandle, stop_pair};
+use camphorwall::{HttpLimits, HttpServer, RequestBody, StopHandle, stop_pair};
 use compio::net::TcpListener;
-use hyper::{Request, body::Incoming};
+use hyper::Request;
 use rstest::rstest;
 
 use crate::{
@@ -35,7 +35,7 @@
     };
     let (stop, stopped) = stop_pair();
     let reader = Rc::clone(&entry);
-    let handler = move |request: Request<Incoming>| answer_follower(Rc::clone(&reader), request);
+    let handler = move |request: Request<RequestBody>| answer_follower(Rc::clone(&reader), request);
     entry.tasks.spawn(server.serve(handler, stopped));
     (entry, address, stop)
 }
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -526,9 +526,13 @@
                     let Ok(events) = self.splitter.push(&bytes) else {
                         return Some(Err(self.cut_oversized_event()));
                     };
-                    if events.count == 0 {
+                    if events.bytes.is_empty() {
                         continue;
                     }
+                    if events.count == 0 {
+                        // Empty lines are passed on, but show no progress.
+                        return Some(Ok(events.bytes));
+                    }
                     placement.advance(events.count.saturating_mul(self.event_tokens));
                     let now = Moment::now();
                     self.pauses.note_events(events.count, now);
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -6,8 +6,8 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use camphorwall::{MeteredStream, ReadMeter};
 use compio::{net::TcpStream, runtime::JoinHandle};
-use cyper_core::HyperStream;
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use snafu::Snafu;
@@ -15,6 +15,9 @@
 /// Timeout of setting up a connection; with a reachable endpoint this takes one or two round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Maximum size of an answer's head, and of what is read ahead of a body.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// A request that got no answer.
 #[derive(Debug, Snafu)]
 pub(crate) enum SendError {
@@ -41,6 +44,7 @@
 /// The unread rest of an answer, with its connection.
 pub(crate) struct AnswerBody {
     incoming: Incoming,
+    meter: ReadMeter,
     /// Dropping the handle ends the task, which closes the connection.
     _connection: JoinHandle<()>,
 }
@@ -50,33 +54,37 @@
     pub(crate) async fn next(&mut self) -> io::Result<Option<Bytes>> {
         while let Some(frame) = self.incoming.frame().await {
             if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
+                self.meter.note_body(data.len());
                 return Ok(Some(data));
             }
         }
         Ok(None)
     }
 
-    /// Reads up to the end, or until there are more than `max_bytes`.
-    pub(crate) async fn read_start(&mut self, max_bytes: usize) -> io::Result<BodyStart> {
+    /// Reads up to the end, or until `may_hold` denies the number of bytes that have been read.
+    pub(crate) async fn read_start(
+        &mut self,
+        mut may_hold: impl FnMut(usize) -> bool,
+    ) -> io::Result<BodyStart> {
         let mut collected = BytesMut::new();
-        while collected.len() <= max_bytes {
+        let is_complete = loop {
             let Some(data) = self.next().await? else {
-                return Ok(BodyStart {
-                    bytes: collected.freeze(),
-                    is_complete: true,
-                });
+                break true;
             };
             collected.extend_from_slice(&data);
-        }
+            if !may_hold(collected.len()) {
+                break false;
+            }
+        };
         Ok(BodyStart {
             bytes: collected.freeze(),
-            is_complete: false,
+            is_complete,
         })
     }
 
     /// Reads the rest; fails if it has more than `max_bytes`.
     pub(crate) async fn collect(&mut self, max_bytes: usize) -> io::Result<Bytes> {
-        let start = self.read_start(max_bytes).await?;
+        let start = self.read_start(|bytes| bytes <= max_bytes).await?;
         if start.is_complete {
             Ok(start.bytes)
         } else {
@@ -97,6 +105,7 @@
 pub(crate) struct Connection {
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
+    meter: ReadMeter,
     task: JoinHandle<()>,
 }
 
@@ -115,8 +124,10 @@
         };
         // With Nagle's algorithm on, a small request may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
+        let meter = ReadMeter::default();
         let (sender, connection) = http1::Builder::new()
-            .handshake(HyperStream::new_plain(stream))
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(MeteredStream::new(stream, meter.clone()))
             .await
             .map_err(|error| not_sent(&error))?;
         let task = compio::runtime::spawn(async move {
@@ -127,6 +138,7 @@
         Ok(Self {
             address,
             sender,
+            meter,
             task,
         })
     }
@@ -148,6 +160,7 @@
         let (parts, incoming) = response.into_parts();
         let body = AnswerBody {
             incoming,
+            meter: self.meter,
             _connection: self.task,
         };
         Ok(Answer { parts, body })
--- a/crates/camphorwall-standin/src/configuration.rs
+++ b/crates/camphorwall-standin/src/configuration.rs
@@ -11,11 +11,11 @@
 };
 
 use camphorwall::{
-    BoxedBody, Document, DocumentName, FileError, Revision, document_files, json_response,
-    read_json_with_comments,
+    BoxedBody, Document, DocumentName, FileError, RequestBody, Revision, document_files,
+    json_response, read_json_with_comments,
 };
 use futures_channel::oneshot;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use serde_json::json;
 
 use crate::RunningServer;
@@ -150,7 +150,7 @@
         .await
     }
 
-    async fn respond(&self, request: &Request<Incoming>) -> Response<BoxedBody> {
+    async fn respond(&self, request: &Request<RequestBody>) -> Response<BoxedBody> {
         self.0.calls.set(self.0.calls.get() + 1);
         let query = request.uri().query().unwrap_or_default();
         let number = |name: &str| query_number(query, name).unwrap_or(0);
--- a/crates/camphorwall-standin/src/engine/mod.rs
+++ b/crates/camphorwall-standin/src/engine/mod.rs
@@ -21,8 +21,8 @@
 };
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, EngineSetup, collect_body, json_response, stream_body};
-use hyper::{Request, Response, body::Incoming};
+use camphorwall::{BoxedBody, EngineSetup, RequestBody, collect_body, json_response, stream_body};
+use hyper::{Request, Response};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -253,7 +253,7 @@
         self.0.counts.set(counts);
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<BoxedBody> {
+    async fn respond(&self, request: Request<RequestBody>) -> Response<BoxedBody> {
         let (head, body) = request.into_parts();
         let Some(body) = collect_body(body, MAX_BODY_BYTES).await else {
             return json_response(413, &json!({"error": "body too large"}));
--- a/crates/camphorwall-standin/src/plain.rs
+++ b/crates/camphorwall-standin/src/plain.rs
@@ -10,8 +10,8 @@
 };
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, collect_body, json_response};
-use hyper::{Request, Response, body::Incoming};
+use camphorwall::{BoxedBody, RequestBody, collect_body, json_response};
+use hyper::{Request, Response};
 use serde::Serialize;
 use serde_json::json;
 
@@ -82,7 +82,7 @@
         .await
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<BoxedBody> {
+    async fn respond(&self, request: Request<RequestBody>) -> Response<BoxedBody> {
         let (head, body) = request.into_parts();
         let Some(body) = collect_body(body, MAX_BODY_BYTES).await else {
             return json_response(413, &json!({"error": "body too large"}));
--- a/crates/camphorwall-standin/src/running_server.rs
+++ b/crates/camphorwall-standin/src/running_server.rs
@@ -2,9 +2,9 @@
 
 use std::{future::Future, io, net::SocketAddr};
 
-use camphorwall::{BoxedBody, HttpLimits, HttpServer, StopHandle, stop_pair};
+use camphorwall::{BoxedBody, HttpLimits, HttpServer, RequestBody, StopHandle, stop_pair};
 use compio::{net::TcpListener, runtime::JoinHandle};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 
 /// A running server. Dropping it closes its connections, as the death of a process would.
 pub struct RunningServer {
@@ -21,7 +21,7 @@
     /// When the address can't be bound.
     pub async fn start<H, F>(address: SocketAddr, handler: H) -> io::Result<Self>
     where
-        H: Fn(Request<Incoming>) -> F + 'static,
+        H: Fn(Request<RequestBody>) -> F + 'static,
         F: Future<Output = Response<BoxedBody>> + 'static,
     {
         let listener = TcpListener::bind(address).await?;
--- a/crates/camphorwall/src/auth/guard.rs
+++ b/crates/camphorwall/src/auth/guard.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::HeaderValue;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use strum::{Display, IntoStaticStr};
 
 use super::records::{RecordSealer, SealedBody};
@@ -13,7 +13,7 @@
     CALL_HEADER, CHALLENGE_HEADER, CallHeader, CallTarget, EpochLimits, Epochs, PROOF_HEADER,
     PeerAuth, ReplayError, body_digest,
 };
-use crate::{BoxedBody, collect_body, full_body, json_response};
+use crate::{BoxedBody, RequestBody, collect_body, full_body, json_response};
 
 /// Reason for which a call was refused.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, IntoStaticStr, PartialEq)]
@@ -73,7 +73,7 @@
     #[allow(clippy::result_large_err, reason = "the answer is sent at once")]
     pub fn admit(
         &self,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
         now: Instant,
     ) -> Result<PeerRequest, Response<BoxedBody>> {
         match self.check(&request, now) {
@@ -91,7 +91,7 @@
 
     fn check(
         &self,
-        request: &Request<Incoming>,
+        request: &Request<RequestBody>,
         now: Instant,
     ) -> Result<Option<CallHeader>, PeerRefusal> {
         if !self.auth.is_enabled() {
@@ -140,7 +140,7 @@
 
 /// A call whose sender holds a secret.
 pub struct PeerRequest {
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     signer: ReplySigner,
 }
 
@@ -165,7 +165,7 @@
 
 /// Body of a call that was not read yet.
 pub struct PeerBody {
-    body: Incoming,
+    body: RequestBody,
     digest: Option<[u8; 32]>,
 }
 
--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::{FutureExt as _, Stream, StreamExt as _, stream::FuturesUnordered};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::{
@@ -23,6 +23,8 @@
     service::service_fn,
 };
 
+use crate::read_meter::{MeteredStream, ReadMeter};
+
 /// Boxed body of a response. An error in it breaks the connection, so that the reader detects the incomplete body.
 pub type BoxedBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error>>>;
 
@@ -56,17 +58,47 @@
         .expect("a status in 100..=999")
 }
 
+/// Body of a request, as the server passes it to a handler.
+pub struct RequestBody {
+    incoming: Incoming,
+    meter: ReadMeter,
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            self.meter.note_body(frame.data_ref().map_or(0, Bytes::len));
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Maximum time to receive a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Reads a request body of at most `max_bytes`. Returns `None` when it is larger, incomplete or takes too long.
-pub async fn collect_body(body: Incoming, max_bytes: usize) -> Option<Bytes> {
+pub async fn collect_body(body: RequestBody, max_bytes: usize) -> Option<Bytes> {
     compio::time::timeout(BODY_TIMEOUT, collect(body, max_bytes))
         .await
         .ok()?
 }
 
-async fn collect(mut body: Incoming, max_bytes: usize) -> Option<Bytes> {
+async fn collect(mut body: RequestBody, max_bytes: usize) -> Option<Bytes> {
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else {
@@ -157,7 +189,7 @@
     /// Serves until the stop is requested, then closes each connection after its running request.
     pub async fn serve<H, F>(self, handler: H, stop: Stop)
     where
-        H: Fn(Request<Incoming>) -> F + 'static,
+        H: Fn(Request<RequestBody>) -> F + 'static,
         F: Future<Output = Response<BoxedBody>> + 'static,
     {
         let handler = Rc::new(handler);
@@ -192,16 +224,22 @@
 
 async fn serve_connection<H, F>(stream: TcpStream, handler: Rc<H>, limits: HttpLimits, stop: Stop)
 where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<RequestBody>) -> F + 'static,
     F: Future<Output = Response<BoxedBody>> + 'static,
 {
     // Nagle's algorithm would delay single tokens.
     let _ = stream.set_nodelay(true);
     let unread_since = UnreadSince::default();
     let service_unread_since = unread_since.clone();
-    let service = service_fn(move |request| {
+    let meter = ReadMeter::default();
+    let service_meter = meter.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         service_unread_since.0.set(None);
-        let response = handler(request);
+        service_meter.begin_message();
+        let response = handler(request.map(|incoming| RequestBody {
+            incoming,
+            meter: service_meter.clone(),
+        }));
         let unread_since = service_unread_since.clone();
         async move {
             let watch = |body| WatchedBody { body, unread_since };
@@ -213,7 +251,7 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(MeteredStream::new(stream, meter), service);
     let mut connection = pin!(connection);
     let mut unread = pin!(unread_since.exceeds(limits.write_timeout).fuse());
     let mut stopped = pin!(stop.called().fuse());
--- a/crates/camphorwall/src/lib.rs
+++ b/crates/camphorwall/src/lib.rs
@@ -11,6 +11,7 @@
 mod logging;
 mod problem;
 mod published;
+mod read_meter;
 mod rendezvous;
 mod request_end;
 mod rpc;
@@ -26,8 +27,8 @@
 };
 pub use files::{FileError, document_files, read_json_with_comments};
 pub use http::{
-    BoxedBody, HttpLimits, HttpServer, Stop, StopHandle, collect_body, empty_body, full_body,
-    json_response, stop_pair, stream_body,
+    BoxedBody, HttpLimits, HttpServer, RequestBody, Stop, StopHandle, collect_body, empty_body,
+    full_body, json_response, stop_pair, stream_body,
 };
 pub use ids::{
     AdapterId, DataCentreId, EndpointId, IdError, InstanceId, KeyDigest, ModelId, ModelVersion,
@@ -42,6 +43,7 @@
     Instance, InstanceRole, InstanceState, Item, ItemId, KeptItem, Key, Link, Published, Route,
     RouteKind, Service, cross_check,
 };
+pub use read_meter::{MeteredStream, ReadMeter};
 pub use rendezvous::{rendezvous_rank, rendezvous_winner};
 pub use request_end::RequestEnd;
 pub use rpc::{PeerResponse, RpcClient, RpcError, RpcServer};
--- /dev/null
+++ b/crates/camphorwall/src/read_meter.rs
@@ -0,0 +1,156 @@
+//! Bounds what reading one connection costs the process, whatever its peer sends.
+//!
+//! The HTTP library reads within one poll for as long as the socket has bytes, and skips some of them without a limit, such as
+//! interim heads and the blanks behind a chunk's size. All tasks of a process share one thread, so that such a peer would
+//! stop them all.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use hyper::rt::{Read, ReadBufCursor, Write};
+
+/// Number of bytes after which a task that reads yields to the others, even if there are more.
+const TURN_BYTES: usize = 16 * 1024;
+
+/// Maximum number of bytes that one read returns.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Bytes of a message that may be received beyond twice its body: heads, framing of chunks, and what was read ahead.
+const MAX_EXTRA_BYTES: usize = 128 * 1024;
+
+/// Bytes of the message that is being received on a connection; clones share the counters.
+#[derive(Clone, Debug, Default)]
+pub struct ReadMeter(Rc<Counters>);
+
+#[derive(Debug, Default)]
+#[expect(clippy::struct_field_names, reason = "the unit is part of the name")]
+struct Counters {
+    received_bytes: Cell<usize>,
+    body_bytes: Cell<usize>,
+    /// Bytes received since the reading task last yielded.
+    turn_bytes: Cell<usize>,
+}
+
+impl ReadMeter {
+    /// Starts to count another message of the same connection.
+    pub fn begin_message(&self) {
+        self.0.received_bytes.set(0);
+        self.0.body_bytes.set(0);
+    }
+
+    /// Records bytes of the message's body that the reader has taken.
+    pub fn note_body(&self, bytes: usize) {
+        self.0.body_bytes.set(self.0.body_bytes.get() + bytes);
+    }
+
+    fn note_received(&self, bytes: usize) {
+        let counters = &self.0;
+        counters
+            .received_bytes
+            .set(counters.received_bytes.get() + bytes);
+        counters.turn_bytes.set(counters.turn_bytes.get() + bytes);
+    }
+
+    fn has_used_turn(&self) -> bool {
+        self.0.turn_bytes.get() >= TURN_BYTES
+    }
+
+    fn end_turn(&self) {
+        self.0.turn_bytes.set(0);
+    }
+
+    /// Fails once too few of the received bytes turn out to be a body.
+    fn check(&self) -> io::Result<()> {
+        let (received, body) = (self.0.received_bytes.get(), self.0.body_bytes.get());
+        if received <= MAX_EXTRA_BYTES + 2 * body {
+            return Ok(());
+        }
+        Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!(
+                "the peer sent {received} bytes for a body of {body} so far, more than twice as many and {MAX_EXTRA_BYTES} \
+                 beyond; check what it sends"
+            ),
+        ))
+    }
+}
+
+/// A connection whose reader yields after each [`TURN_BYTES`] bytes and fails when its peer sends bytes that lead to no body.
+pub struct MeteredStream {
+    stream: HyperStream<TcpStream>,
+    meter: ReadMeter,
+}
+
+impl MeteredStream {
+    /// Wraps a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream, meter: ReadMeter) -> Self {
+        Self {
+            stream: HyperStream::new_plain(stream),
+            meter,
+        }
+    }
+}
+
+impl Read for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.meter.check()?;
+        if self.meter.has_used_turn() {
+            self.meter.end_turn();
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut bytes = [0; READ_BYTES];
+        let room = buffer.remaining().min(READ_BYTES);
+        let stream = Pin::new(&mut self.stream);
+        let polled = futures_util::AsyncRead::poll_read(stream, context, &mut bytes[..room]);
+        if polled.is_pending() {
+            self.meter.end_turn();
+        }
+        let count = ready!(polled)?;
+        buffer.put_slice(&bytes[..count]);
+        self.meter.note_received(count);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Write::poll_write(Pin::new(&mut self.stream), context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Write::poll_write_vectored(Pin::new(&mut self.stream), context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        Write::is_write_vectored(&self.stream)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Write::poll_flush(Pin::new(&mut self.stream), context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Write::poll_shutdown(Pin::new(&mut self.stream), context)
+    }
+}
