--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -1,12 +1,16 @@
 //! The published configuration as an entry uses it.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
 
-use camphorwall::{DataCentreId, EndpointId, ServiceId, TeamId};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::names::{DataCentreName, EndpointName, ServiceName, TeamName};
 use crate::route_table::RouteTable;
 
 /// One version of the published configuration.
@@ -17,13 +21,35 @@
     /// Routes by host and path prefix.
     pub routes: RouteTable,
     /// Services by name.
-    pub services: HashMap<ServiceId, Service>,
+    pub services: HashMap<ServiceName, Service>,
     /// Whether callers need keys at all.
     pub has_teams: bool,
     /// Team that each key belongs to.
     pub keys: HashMap<Box<str>, Rc<Team>>,
     /// Limits of a caller's request.
     pub limits: CallerLimits,
+    /// What of the document could not be read.
+    pub unreadable: UnreadableParts,
+}
+
+/// Parts of a configuration that could not be read. A request that may need one is refused as not run, since the
+/// configuration may allow it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UnreadableParts {
+    /// Number of routes whose host or path is not known.
+    pub routes: u32,
+    /// Services whose settings are not known.
+    pub services: BTreeSet<ServiceName>,
+    /// Number of teams whose keys are not known or can't be served.
+    pub teams: u32,
+}
+
+impl UnreadableParts {
+    /// Number of parts.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.routes as usize + self.services.len() + self.teams as usize
+    }
 }
 
 /// Limits of a caller's request.
@@ -90,7 +116,7 @@
     /// Time after which callers give up a request without any response, in milliseconds.
     pub wait_limit_ms: u64,
     /// Services with their weights.
-    pub services: Vec<(ServiceId, u32)>,
+    pub services: Vec<(ServiceName, u32)>,
     /// Maximum number of endpoints that may run one request.
     pub max_attempts: u32,
     /// Whether callers need no key.
@@ -117,9 +143,9 @@
 
     /// Picks a service by weight; `point` is a uniform random number in 0..1.
     #[must_use]
-    pub fn service(&self, point: f64) -> Option<&ServiceId> {
-        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
-        let mut left = point * f64::from(total);
+    pub fn service(&self, point: f64) -> Option<&ServiceName> {
+        let weights = self.services.iter().map(|(_, weight)| f64::from(*weight));
+        let mut left = point * weights.sum::<f64>();
         for (service, weight) in &self.services {
             left -= f64::from(*weight);
             if left < 0.0 {
@@ -150,7 +176,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Team {
     /// Name that is sent to endpoints.
-    pub name: TeamId,
+    pub name: TeamName,
     /// Priority that overrides the route's; 0 is the most urgent.
     pub priority: Option<u32>,
     /// Tokens a second over the entire fleet; none without a limit.
@@ -211,15 +237,15 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Endpoint {
     /// Name of this run of the endpoint; most endpoints get a new one at each start.
-    pub id: EndpointId,
+    pub id: EndpointName,
     /// Start of the endpoint, in milliseconds of Unix time.
     pub started_ms: u64,
     /// Service that the endpoint belongs to.
-    pub service: ServiceId,
+    pub service: ServiceName,
     /// Address at which the endpoint serves.
     pub address: std::net::SocketAddr,
     /// Data centre in which the endpoint runs.
-    pub data_centre: DataCentreId,
+    pub data_centre: DataCentreName,
     /// Maximum number of requests that the endpoint runs at once.
     pub slots: u32,
     /// Whether the endpoint takes no new work.
--- a/crates/camphorwall-direct/src/configuration_change.rs
+++ b/crates/camphorwall-direct/src/configuration_change.rs
@@ -5,10 +5,10 @@
     rc::Rc,
 };
 
-use camphorwall::ServiceId;
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::{CallerLimits, Configuration, Route, Service, Team};
+use crate::configuration::{CallerLimits, Configuration, Route, Service, Team, UnreadableParts};
+use crate::names::ServiceName;
 
 /// What turns one configuration into another. Routes are sent only if they differ, since there are thousands of them.
 #[derive(Debug, Deserialize, Serialize)]
@@ -18,11 +18,12 @@
     removed_routes: Vec<(Box<str>, Box<str>)>,
     /// Routes that are new or differ.
     routes: Vec<Route>,
-    services: Vec<(ServiceId, Service)>,
+    services: Vec<(ServiceName, Service)>,
     has_teams: bool,
     /// Teams with their keys; `None` if they are the same.
     teams: Option<Vec<(Team, Vec<Box<str>>)>>,
     limits: CallerLimits,
+    unreadable: UnreadableParts,
 }
 
 impl ConfigurationChange {
@@ -47,6 +48,7 @@
             has_teams: new.has_teams,
             teams: (base.keys != new.keys).then(|| teams(&new.keys)),
             limits: new.limits,
+            unreadable: new.unreadable.clone(),
         }
     }
 
@@ -65,6 +67,7 @@
             has_teams: self.has_teams,
             keys: self.teams.map_or_else(|| base.keys.clone(), keys),
             limits: self.limits,
+            unreadable: self.unreadable,
         }
     }
 }
--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -4,11 +4,13 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{EndpointId, TeamId};
+
 use http::{HeaderMap, Request, request, response};
 use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::configuration::{Configuration, Endpoint, Route, Stage};
+use crate::names::{EndpointName, TeamName};
 
 /// Functions of one platform's adapter. They only translate and make no decisions.
 #[derive(Clone, Copy)]
@@ -29,7 +31,37 @@
 
 /// Parses all of a configuration but its routes from an item of the store; `None` for an item that contains none.
 pub type DraftConfiguration =
-    fn(key: &str, value: &Bytes) -> Option<Result<ConfigurationDraft, String>>;
+    fn(key: &str, value: &Bytes) -> Option<Result<ConfigurationDraft, UnreadableConfiguration>>;
+
+/// A configuration of which nothing can be put in force.
+#[derive(Clone, Debug)]
+pub struct UnreadableConfiguration {
+    /// Its version, if that could be read.
+    pub version: Option<u64>,
+    /// Kind of the cause.
+    pub reason: UnreadableReason,
+    /// What was expected and where.
+    pub error: String,
+}
+
+/// Why a configuration can't be read.
+#[derive(Clone, Copy, Debug, Display, EnumIter, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum UnreadableReason {
+    /// It is no JSON text.
+    NotJson,
+    /// A field that all parts need is missing or of another type.
+    WrongFields,
+}
+
+/// A route that can't be read.
+#[derive(Debug)]
+pub struct UnreadableRoute {
+    /// What was expected and where.
+    pub error: String,
+    /// A route without services for the same requests, if its host and path are known.
+    pub refusing: Option<Route>,
+}
 
 /// A configuration whose routes are still to be parsed. There may be thousands of them, too many to parse at once on a
 /// thread that also serves requests.
@@ -39,6 +71,8 @@
     pub configuration: Configuration,
     /// Text of each route, in the published order.
     pub routes: Vec<Bytes>,
+    /// What is wrong with the parts that could not be read.
+    pub errors: Vec<String>,
 }
 
 /// Functions of the adapter for the configuration store.
@@ -59,7 +93,7 @@
     /// Parses all of a configuration but its routes.
     pub configuration: DraftConfiguration,
     /// Parses a route of a configuration.
-    pub route: fn(&[u8]) -> Result<Route, String>,
+    pub route: fn(&[u8]) -> Result<Route, Box<UnreadableRoute>>,
     /// Parses an endpoint's registration.
     pub endpoint: fn(key: &str, value: &[u8]) -> Result<Endpoint, String>,
 }
@@ -103,9 +137,9 @@
 #[derive(Clone, Debug)]
 pub struct ForwardingFacts {
     /// The only run of an endpoint that may serve the request.
-    pub endpoint: EndpointId,
+    pub endpoint: EndpointName,
     /// Team that the caller's key belongs to.
-    pub team: Option<TeamId>,
+    pub team: Option<TeamName>,
     /// Time left until the request's deadline.
     pub time_left: Option<Duration>,
     /// Part of a model's work that the endpoint does.
--- a/crates/camphorwall-direct/src/emulator_tests.rs
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -6,7 +6,6 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use camphorwall::ServiceId;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
@@ -14,6 +13,7 @@
     choice::{Candidate, FillLimit, choose_decode, choose_prefill},
     lengths::LengthModel,
     loads::{ForecastRun, Run},
+    names::ServiceName,
     placement::{kv_fill_limit, scheduling_round},
     stream::retry_after_wait,
 };
@@ -225,7 +225,7 @@
     served: Vec<bool>,
 }
 
-fn service() -> ServiceId {
+fn service() -> ServiceName {
     "model".parse().expect("a name")
 }
 
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -7,9 +7,7 @@
     time::Duration,
 };
 
-use camphorwall::{
-    BoxedBody, LogRing, ServiceId, Stop, StopHandle, TaskGroup, empty_body, stop_pair,
-};
+use camphorwall::{BoxedBody, LogRing, Stop, StopHandle, TaskGroup, empty_body, stop_pair};
 use http::StatusCode;
 use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
@@ -22,6 +20,7 @@
     loads::Loads,
     memory_pool::MemoryPool,
     metrics::{GaugeValues, Metrics},
+    names::ServiceName,
     notices::Notices,
     notify::Notify,
     peers::Peers,
@@ -310,7 +309,7 @@
     }
 
     /// Takes one retry from this entry's part of the fleet's retry budget; returns whether there was one.
-    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+    pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
         let entries = self.peers.borrow().count();
         let mut retries = self.retries.borrow_mut();
         let is_taken = retries.take(service, entries, Moment::now());
@@ -319,7 +318,7 @@
     }
 
     /// Returns a retry that reached no endpoint.
-    pub(crate) fn return_retry(&self, service: &ServiceId) {
+    pub(crate) fn return_retry(&self, service: &ServiceName) {
         self.retries.borrow_mut().give_back(service);
     }
 
@@ -506,6 +505,11 @@
             configuration_version: configuration.map_or(0, |current| current.version),
             keys_proof_age: registry.proof_age(now),
             configuration_outdated: self.tracker.borrow().outdated_for(now),
+            stuck: self.tracker.borrow().stuck().map(|stuck| {
+                let time = now.since(stuck.since);
+                (stuck.cause.reason, stuck.version(), time)
+            }),
+            unreadable_parts: configuration.map_or(0, |current| current.unreadable.count()),
             active: self.active_requests.get(),
             waiting: self.placement_queue.waiting(),
             peers_known: peers.count() - 1,
--- a/crates/camphorwall-direct/src/lengths.rs
+++ b/crates/camphorwall-direct/src/lengths.rs
@@ -3,10 +3,9 @@
 //! Lengths and errors are modelled as log-normal. Estimates are taken to be right at the median, so the mean of their
 //! logarithms is that of the lengths, and the variance of the lengths is that of the estimates less that of the errors.
 
+use crate::names::ServiceName;
 use std::{collections::HashMap, f64::consts::SQRT_2};
 
-use camphorwall::ServiceId;
-
 /// Initial variance of the logarithm of an answer's length over its estimate, before any answer has ended.
 const INITIAL_ERROR_VARIANCE: f64 = 0.25;
 
@@ -120,17 +119,17 @@
 
 /// Statistics on the answers of all services.
 #[derive(Debug, Default)]
-pub(crate) struct LengthModel(HashMap<ServiceId, Lengths>);
+pub(crate) struct LengthModel(HashMap<ServiceName, Lengths>);
 
 impl LengthModel {
     /// Records a caller's estimate, whatever the outcome of the request.
-    pub(crate) fn note_estimate(&mut self, service: &ServiceId, estimate: u64) {
+    pub(crate) fn note_estimate(&mut self, service: &ServiceName, estimate: u64) {
         let lengths = self.0.entry(service.clone()).or_default();
         lengths.estimates.observe((estimate.max(1) as f64).ln());
     }
 
     /// Records the length of a complete answer and its caller's estimate.
-    pub(crate) fn note_ended(&mut self, service: &ServiceId, estimate: u64, generated: u32) {
+    pub(crate) fn note_ended(&mut self, service: &ServiceName, estimate: u64, generated: u32) {
         let lengths = self.0.entry(service.clone()).or_default();
         let error = f64::from(generated.max(1)).ln() - (estimate.max(1) as f64).ln();
         lengths.errors.observe(error);
@@ -140,7 +139,7 @@
     #[must_use]
     pub(crate) fn forecast(
         &self,
-        service: &ServiceId,
+        service: &ServiceName,
         estimate: Option<u64>,
         max_tokens: u64,
     ) -> LengthForecast {
--- a/crates/camphorwall-direct/src/lengths_tests.rs
+++ b/crates/camphorwall-direct/src/lengths_tests.rs
@@ -1,11 +1,11 @@
 use super::lengths::{LengthForecast, LengthModel};
-use camphorwall::ServiceId;
+use crate::names::ServiceName;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
 const MAX_TOKENS: u64 = 9_360;
 
-fn service() -> ServiceId {
+fn service() -> ServiceName {
     "model".parse().expect("a name")
 }
 
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -15,6 +15,7 @@
 mod loads;
 mod memory_pool;
 mod metrics;
+mod names;
 mod notices;
 mod notify;
 mod outcome;
@@ -87,12 +88,15 @@
 
 pub use configuration::{
     CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
+    UnreadableParts,
 };
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
     AnswerFacts, Changes, ConfigurationDraft, Dialect, DraftConfiguration, ForwardingFacts,
-    KvHandle, Page, PromptPart, RequestFacts, StoreDialect, StoreItem,
+    KvHandle, Page, PromptPart, RequestFacts, StoreDialect, StoreItem, UnreadableConfiguration,
+    UnreadableReason, UnreadableRoute,
 };
+pub use names::{DataCentreName, EndpointName, InstanceName, ServiceName, TeamName};
 pub use route_table::RouteTable;
 pub use run::{ControlCommand, StartError, run};
 pub use settings::{Bounds, DirectSettings};
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/loads.rs
@@ -2,20 +2,20 @@
 
 use std::collections::HashMap;
 
-use camphorwall::{EndpointId, ServiceId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::lengths::LengthForecast;
+use crate::names::{EndpointName, ServiceName};
 
 /// Hash by which entries identify an endpoint in heartbeats.
 #[must_use]
-pub(crate) fn endpoint_key(id: &EndpointId) -> u64 {
+pub(crate) fn endpoint_key(id: &EndpointName) -> u64 {
     xxh3_64(id.as_str().as_bytes())
 }
 
 /// Hash by which entries identify a service in heartbeats.
 #[must_use]
-pub(crate) fn service_key(id: &ServiceId) -> u64 {
+pub(crate) fn service_key(id: &ServiceName) -> u64 {
     xxh3_64(id.as_str().as_bytes())
 }
 
@@ -126,7 +126,7 @@
 
 impl Loads {
     /// Records the start of local work at an endpoint.
-    pub(crate) fn begin(&mut self, endpoint: &EndpointId, work: Work) -> WorkId {
+    pub(crate) fn begin(&mut self, endpoint: &EndpointName, work: Work) -> WorkId {
         self.next_id += 1;
         let id = WorkId(self.next_id);
         self.local.insert(id, (endpoint_key(endpoint), work));
--- a/crates/camphorwall-direct/src/loads_tests.rs
+++ b/crates/camphorwall-direct/src/loads_tests.rs
@@ -1,6 +1,5 @@
-use camphorwall::EndpointId;
-
 use crate::loads::{Loads, ReportedWork, Run, Work, endpoint_key};
+use crate::names::EndpointName;
 
 const PEER: u64 = 7;
 
@@ -9,7 +8,7 @@
     left_tokens: 50,
 };
 
-fn endpoint(name: &str) -> EndpointId {
+fn endpoint(name: &str) -> EndpointName {
     name.parse().expect("a name")
 }
 
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -15,9 +15,9 @@
     },
     registry::Registry,
 };
-use strum::IntoStaticStr;
+use strum::{IntoEnumIterator as _, IntoStaticStr};
 
-use crate::configuration::RouteKind;
+use crate::{configuration::RouteKind, dialect::UnreadableReason};
 
 /// Content type of `OpenMetrics` text.
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -42,6 +42,11 @@
     notice: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ResultLabels {
     result: &'static str,
@@ -78,6 +83,9 @@
     pub(crate) configuration_version: u64,
     pub(crate) keys_proof_age: Option<Duration>,
     pub(crate) configuration_outdated: Option<Duration>,
+    /// Version that can't be put in force, and since when.
+    pub(crate) stuck: Option<(UnreadableReason, u64, Duration)>,
+    pub(crate) unreadable_parts: usize,
     pub(crate) active: usize,
     pub(crate) waiting: usize,
     pub(crate) peers_known: usize,
@@ -97,6 +105,9 @@
     configuration_version: Gauge<u64, AtomicU64>,
     keys_proof_age: Gauge<f64, AtomicU64>,
     configuration_outdated: Gauge<f64, AtomicU64>,
+    stuck_version: Family<ReasonLabels, Gauge<u64, AtomicU64>>,
+    stuck_seconds: Gauge<f64, AtomicU64>,
+    unreadable_parts: Gauge<u64, AtomicU64>,
     active: Gauge<u64, AtomicU64>,
     waiting: Gauge<u64, AtomicU64>,
     peers_known: Gauge<u64, AtomicU64>,
@@ -132,6 +143,9 @@
             configuration_version: Gauge::default(),
             keys_proof_age: Gauge::default(),
             configuration_outdated: Gauge::default(),
+            stuck_version: Family::default(),
+            stuck_seconds: Gauge::default(),
+            unreadable_parts: Gauge::default(),
             active: Gauge::default(),
             waiting: Gauge::default(),
             peers_known: Gauge::default(),
@@ -180,6 +194,11 @@
             "Version in force, 0 for none",
             &self.configuration_version,
         );
+        gauge(
+            "configuration_unreadable_parts",
+            "Routes, services and teams of the configuration in force that can't be read",
+            &self.unreadable_parts,
+        );
         gauge("active_requests", "Requests under way", &self.active);
         gauge(
             "waiting_requests",
@@ -211,6 +230,16 @@
             "Age of the proof that the configuration is the newest, -1 for none",
             self.keys_proof_age.clone(),
         );
+        registry.register(
+            "configuration_stuck_version",
+            "Newer version that can't be put in force, by reason, 0 for none",
+            self.stuck_version.clone(),
+        );
+        registry.register(
+            "configuration_stuck_seconds",
+            "Time since the first sign of a version that can't be put in force, 0 for none",
+            self.stuck_seconds.clone(),
+        );
         registry.register(
             "configuration_outdated_seconds",
             "Time since the first sign of a newer configuration that has not been read yet, 0 if there is none",
@@ -267,6 +296,17 @@
         self.keys_proof_age.set(proof_age);
         let outdated = gauges.configuration_outdated.unwrap_or_default();
         self.configuration_outdated.set(outdated.as_secs_f64());
+        for reason in UnreadableReason::iter() {
+            let stuck = gauges.stuck.filter(|(stuck, _, _)| *stuck == reason);
+            let labels = ReasonLabels {
+                reason: reason.into(),
+            };
+            let version = stuck.map_or(0, |(_, version, _)| version);
+            self.stuck_version.get_or_create(&labels).set(version);
+        }
+        let stuck_for = gauges.stuck.map(|(_, _, time)| time).unwrap_or_default();
+        self.stuck_seconds.set(stuck_for.as_secs_f64());
+        self.unreadable_parts.set(gauges.unreadable_parts as u64);
         self.active.set(gauges.active as u64);
         self.waiting.set(gauges.waiting as u64);
         self.peers_known.set(gauges.peers_known as u64);
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/outcome.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{EndpointId, RequestEnd};
+use camphorwall::RequestEnd;
 use http::{Request, StatusCode, header};
 
 use crate::{
@@ -12,6 +12,7 @@
     dialect::AnswerFacts,
     entry::Entry,
     metrics::Notice,
+    names::EndpointName,
     refusal::Refusal,
     request::Admitted,
     return_queue::reject_hopeless,
@@ -22,7 +23,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Progress {
     /// Endpoints that were tried or that are draining; they are not chosen again.
-    pub(crate) excluded: Vec<EndpointId>,
+    pub(crate) excluded: Vec<EndpointName>,
     pub(crate) prefills: u32,
     /// Attempts that may have run.
     runs: u32,
@@ -31,7 +32,7 @@
 
 impl Progress {
     /// Counts an attempt. A request that is sent counts as one that may have run until the endpoint states otherwise.
-    pub(crate) fn begin(&mut self, admitted: &Admitted, endpoint: &EndpointId) {
+    pub(crate) fn begin(&mut self, admitted: &Admitted, endpoint: &EndpointName) {
         self.excluded.push(endpoint.clone());
         admitted
             .request_log
--- a/crates/camphorwall-direct/src/placement.rs
+++ b/crates/camphorwall-direct/src/placement.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use camphorwall::{EndpointId, ServiceId};
 use futures_channel::oneshot;
 
 use crate::{
@@ -15,6 +14,7 @@
     configuration::{Endpoint, Stage},
     entry::Entry,
     loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
+    names::{EndpointName, ServiceName},
     notices::Availability,
     notify::Notify,
     poison::Content,
@@ -87,7 +87,7 @@
 
 /// A request for placement at a decode endpoint.
 pub(crate) struct PlacementRequest {
-    pub(crate) service: ServiceId,
+    pub(crate) service: ServiceName,
     pub(crate) capacity_tokens: u64,
     pub(crate) forecast: ForecastRun,
     pub(crate) rank: QueueRank,
@@ -95,7 +95,7 @@
     pub(crate) start_by: Moment,
     pub(crate) content: Rc<Content>,
     /// Endpoints that have refused the request or failed while running it.
-    pub(crate) excluded: Vec<EndpointId>,
+    pub(crate) excluded: Vec<EndpointName>,
     /// Whether its wait has been reported to the peers.
     pub(crate) is_reported: Cell<bool>,
 }
@@ -235,7 +235,7 @@
     let mut next: Option<usize> = None;
     let mut is_any_unreported = false;
     // A request that doesn't fit holds back the lower-ranked ones of its service, or large requests would starve.
-    let mut blocked: Vec<ServiceId> = Vec::new();
+    let mut blocked: Vec<ServiceName> = Vec::new();
     while index < waiters.len() {
         let request = &waiters[index].request;
         if blocked.contains(&request.service) {
@@ -289,10 +289,10 @@
 /// Endpoints of a service for a stage, in random order, and their state as seen from the data centre `near`.
 pub(crate) fn candidates(
     entry: &Entry,
-    service: &ServiceId,
+    service: &ServiceName,
     stage: Stage,
-    near: &camphorwall::DataCentreId,
-    excluded: &[EndpointId],
+    near: &crate::names::DataCentreName,
+    excluded: &[EndpointName],
 ) -> (Vec<Rc<Endpoint>>, Vec<Candidate>) {
     let now = Moment::now();
     let registry = entry.registry.borrow();
--- a/crates/camphorwall-direct/src/quota.rs
+++ b/crates/camphorwall-direct/src/quota.rs
@@ -7,11 +7,10 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use camphorwall::TeamId;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{clock::Moment, configuration::Team};
+use crate::{clock::Moment, configuration::Team, names::TeamName};
 
 /// Longest wait that is forecast, in seconds; it bounds the retry delay given to callers.
 const MAX_WAIT_S: f64 = 60.0;
@@ -87,10 +86,20 @@
     }
 }
 
+/// Hash by which entries identify a team in heartbeats, whose size must not depend on the length of names.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub(crate) struct TeamKey(u64);
+
+impl TeamKey {
+    pub(crate) fn of(team: &TeamName) -> Self {
+        Self(xxh3_64(team.as_str().as_bytes()))
+    }
+}
+
 /// One team's account as an entry reports it to its peers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct ReportedAccount {
-    pub(crate) team: TeamId,
+    pub(crate) team: TeamKey,
     /// Tokens that the entry has charged since it started, less its refunds.
     charged: f64,
     /// Tokens left in the team's bucket, as far as the entry knows.
@@ -102,9 +111,9 @@
 impl ReportedAccount {
     /// A report with arbitrary values, as any process can send in a datagram.
     #[cfg(test)]
-    pub(crate) fn from_unauthenticated_sender(team: &TeamId, charged: f64, level: f64) -> Self {
+    pub(crate) fn from_unauthenticated_sender(team: &TeamName, charged: f64, level: f64) -> Self {
         Self {
-            team: team.clone(),
+            team: TeamKey::of(team),
             charged,
             level,
             backlog: 0.0,
@@ -151,12 +160,12 @@
         fits
     }
 
-    fn report(&mut self, team: &TeamId, share: f64, now: Moment) -> ReportedAccount {
+    fn report(&mut self, team: TeamKey, share: f64, now: Moment) -> ReportedAccount {
         self.refill(share, now);
         self.reported_charged = self.charged;
         self.reported_backlog = self.backlog(now);
         ReportedAccount {
-            team: team.clone(),
+            team,
             charged: self.charged,
             level: self.level,
             backlog: self.reported_backlog,
@@ -206,11 +215,11 @@
 /// Accounts of all teams with requests at this entry, and the charges that peers reported.
 #[derive(Debug, Default)]
 pub(crate) struct Quotas {
-    accounts: HashMap<TeamId, Account>,
+    accounts: HashMap<TeamKey, Account>,
     /// Total charges that peers reported, by incarnation and team.
-    peer_charges: HashMap<u64, HashMap<TeamId, f64>>,
+    peer_charges: HashMap<u64, HashMap<TeamKey, f64>>,
     /// Levels that peers reported for teams without an account here.
-    peer_levels: HashMap<TeamId, f64>,
+    peer_levels: HashMap<TeamKey, f64>,
     next_ticket: u64,
     /// Position in the cycle of full heartbeats over which unchanged accounts are spread.
     cycle_position: u64,
@@ -224,7 +233,8 @@
 
 impl Quotas {
     fn account(&mut self, team: &Team, rate_per_s: f64, share: f64, now: Moment) -> &mut Account {
-        let peer_level = self.peer_levels.remove(&team.name);
+        let key = TeamKey::of(&team.name);
+        let peer_level = self.peer_levels.remove(&key);
         let new_account = || Account {
             level: peer_level.map_or(team.burst, |level| level.min(team.burst)),
             rate_per_s,
@@ -237,10 +247,7 @@
             waiting: Vec::new(),
             peers_backlog: HashMap::new(),
         };
-        let account = self
-            .accounts
-            .entry(team.name.clone())
-            .or_insert_with(new_account);
+        let account = self.accounts.entry(key).or_insert_with(new_account);
         account.refill(share, now);
         account.rate_per_s = rate_per_s;
         account.burst = team.burst;
@@ -328,15 +335,15 @@
     }
 
     /// Removes a request from the queue if it still waits.
-    pub(crate) fn withdraw(&mut self, team: &TeamId, ticket: Ticket) {
-        if let Some(account) = self.accounts.get_mut(team) {
+    pub(crate) fn withdraw(&mut self, team: &TeamName, ticket: Ticket) {
+        if let Some(account) = self.accounts.get_mut(&TeamKey::of(team)) {
             account.waiting.retain(|waiting| waiting.ticket != ticket);
         }
     }
 
     /// Refunds the charge of a request that has not run.
-    pub(crate) fn refund(&mut self, team: &TeamId, cost: f64, now: Moment) {
-        if let Some(account) = self.accounts.get_mut(team) {
+    pub(crate) fn refund(&mut self, team: &TeamName, cost: f64, now: Moment) {
+        if let Some(account) = self.accounts.get_mut(&TeamKey::of(team)) {
             account.level = (account.level + cost).min(account.burst);
             account.charged -= cost;
             account.changed_at = now;
@@ -351,32 +358,34 @@
     pub(crate) fn report(&mut self, share: f64, now: Moment) -> Vec<ReportedAccount> {
         self.cycle_position = (self.cycle_position + 1) % HEARTBEATS_PER_CYCLE;
         let position = self.cycle_position;
-        let is_due = |(team, account): &(&TeamId, &mut Account)| {
+        let is_due = |(team, account): &(&TeamKey, &mut Account)| {
             let is_recent = now.since(account.changed_at) <= REPORT_CHANGED_FOR;
-            let team_position = xxh3_64(team.as_str().as_bytes()) % HEARTBEATS_PER_CYCLE;
+            let team_position = team.0 % HEARTBEATS_PER_CYCLE;
             is_recent || account.backlog(now) > 0.0 || team_position == position
         };
         let due = self.accounts.iter_mut().filter(is_due);
-        due.map(|(team, account)| account.report(team, share, now))
+        due.map(|(team, account)| account.report(*team, share, now))
             .collect()
     }
 
     /// Accounts whose charges or backlog have changed since they were last reported.
     pub(crate) fn report_changes(&mut self, share: f64, now: Moment) -> Vec<ReportedAccount> {
         let accounts = self.accounts.iter_mut();
-        let is_changed = |(_, account): &(&TeamId, &mut Account)| {
+        let is_changed = |(_, account): &(&TeamKey, &mut Account)| {
             account.charged.to_bits() != account.reported_charged.to_bits()
                 || account.backlog(now).to_bits() != account.reported_backlog.to_bits()
         };
         let changed = accounts.filter(is_changed);
         changed
-            .map(|(team, account)| account.report(team, share, now))
+            .map(|(team, account)| account.report(*team, share, now))
             .collect()
     }
 
     /// Tokens left in a team's bucket, as far as this entry knows.
-    pub(crate) fn level(&self, team: &TeamId) -> Option<f64> {
-        self.accounts.get(team).map(|account| account.level)
+    pub(crate) fn level(&self, team: &TeamName) -> Option<f64> {
+        self.accounts
+            .get(&TeamKey::of(team))
+            .map(|account| account.level)
     }
 
     /// Deducts what a peer has charged since its previous report. A peer's first report only sets the baseline for
@@ -391,10 +400,10 @@
         let charges = self.peer_charges.entry(incarnation).or_default();
         for peer in accounts {
             if !(peer.charged.is_finite() && peer.level.is_finite() && peer.backlog.is_finite()) {
-                tracing::debug!(event = "heartbeat_unreadable", incarnation, team = %peer.team);
+                tracing::debug!(event = "heartbeat_unreadable", incarnation);
                 continue;
             }
-            let previous = charges.insert(peer.team.clone(), peer.charged);
+            let previous = charges.insert(peer.team, peer.charged);
             let Some(account) = self.accounts.get_mut(&peer.team) else {
                 self.peer_levels.insert(peer.team, peer.level);
                 continue;
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/quota_tests.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::Moment,
     configuration::Team,
-    quota::{ChargeOutcome, Quotas, ReportedAccount, Ticket, WaitLimits, usable_share},
+    quota::{ChargeOutcome, Quotas, ReportedAccount, TeamKey, Ticket, WaitLimits, usable_share},
     testing::{at_ms, team, wait_limits_until},
 };
 
@@ -223,7 +223,7 @@
         }
     }
     assert_eq!(reports_by_team.len(), 40);
-    assert_eq!(reports_by_team[&teams[3].name], 8);
+    assert_eq!(reports_by_team[&TeamKey::of(&teams[3].name)], 8);
     assert!(
         total_reports <= 40 + 8,
         "{total_reports} accounts in eight heartbeats"
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -2,11 +2,10 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use camphorwall::{EndpointId, ServiceId};
-
 use crate::{
     clock::Moment,
     configuration::{Configuration, Endpoint, EndpointIncarnation, KeysDigest, Stage},
+    names::{EndpointName, ServiceName},
 };
 
 /// Time after the last failed call to the store in which a missing registration counts as expired rather than as
@@ -39,9 +38,9 @@
     /// Moment up to which no key is known to have been withdrawn. Later than `proved_at` if a newer configuration is known
     /// to have the same keys.
     keys_proved_at: Option<Moment>,
-    registrations: HashMap<EndpointId, Registration>,
+    registrations: HashMap<EndpointName, Registration>,
     /// Revisions of removals, so that a page of an older list doesn't bring an endpoint back.
-    removed_at: HashMap<EndpointId, u64>,
+    removed_at: HashMap<EndpointName, u64>,
     store_failed_at: Option<Moment>,
 }
 
@@ -81,14 +80,18 @@
         self.keys_digest
     }
 
-    /// Puts a configuration in force unless one of the same or a newer version is; returns whether it did.
+    /// Puts a configuration in force unless one of a newer version is, or of the same version and as new a revision; returns
+    /// whether it did.
     pub(crate) fn apply_configuration(
         &mut self,
         configuration: Configuration,
         revision: u64,
     ) -> bool {
         let in_force = self.configuration.as_ref();
-        let is_newer = in_force.is_none_or(|current| configuration.version > current.version);
+        let is_newer = in_force.is_none_or(|current| {
+            let in_force = (current.version, self.configuration_revision);
+            (configuration.version, revision) > in_force
+        });
         if is_newer {
             self.keys_digest = configuration.keys_digest();
             self.configuration = Some(Rc::new(configuration));
@@ -169,7 +172,12 @@
     }
 
     /// Applies the removal of a registration.
-    pub(crate) fn remove(&mut self, id: &EndpointId, revision: u64, now: Moment) -> EndpointChange {
+    pub(crate) fn remove(
+        &mut self,
+        id: &EndpointName,
+        revision: u64,
+        now: Moment,
+    ) -> EndpointChange {
         let is_store_recovering = self.is_store_recovering(now);
         let Some(known) = self.registrations.get_mut(id) else {
             return EndpointChange::Unchanged;
@@ -188,7 +196,7 @@
     }
 
     /// Applies a complete list: registrations missing from it are removed.
-    pub(crate) fn keep_only(&mut self, listed: &[EndpointId], revision: u64, now: Moment) {
+    pub(crate) fn keep_only(&mut self, listed: &[EndpointName], revision: u64, now: Moment) {
         let missing: Vec<_> = self
             .registrations
             .keys()
@@ -208,7 +216,7 @@
 
     /// Drops the endpoints whose registrations expired and were not renewed once the store has recovered, and returns
     /// them.
-    pub(crate) fn drop_expired(&mut self, now: Moment) -> Vec<EndpointId> {
+    pub(crate) fn drop_expired(&mut self, now: Moment) -> Vec<EndpointName> {
         if self.is_store_recovering(now) {
             return Vec::new();
         }
@@ -229,7 +237,7 @@
     /// Endpoints of a service that take new work of a stage.
     pub(crate) fn endpoints<'a>(
         &'a self,
-        service: &'a ServiceId,
+        service: &'a ServiceName,
         stage: Stage,
         now: Moment,
     ) -> impl Iterator<Item = &'a Rc<Endpoint>> {
--- a/crates/camphorwall-direct/src/registry_tests.rs
+++ b/crates/camphorwall-direct/src/registry_tests.rs
@@ -1,16 +1,15 @@
 use std::time::Duration;
 
-use camphorwall::ServiceId;
-
 use crate::{
     configuration::{Configuration, Endpoint, Stage},
+    names::ServiceName,
     registry::{EndpointChange, Registry},
     testing::{at_ms, endpoint, endpoint_id},
 };
 
 const KEY_WITHDRAWAL: Duration = Duration::from_secs(5);
 
-fn service() -> ServiceId {
+fn service() -> ServiceName {
     "drafts".parse().expect("a name")
 }
 
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::{BoxedBody, RequestBody, RequestEnd, ServiceId, collect_body};
+use camphorwall::{BoxedBody, RequestBody, RequestEnd, collect_body};
 use futures_util::future::{self, Either};
 use http::{HeaderValue, Method, Request, StatusCode, Uri, Version, header};
 use hyper::Response;
@@ -16,6 +16,7 @@
     dialect::{ForwardingFacts, KvHandle, RequestFacts},
     entry::{ActiveGuard, Entry},
     memory_pool::MemoryShare,
+    names::ServiceName,
     placement::QueueRank,
     plain,
     poison::{Block, Content, Fingerprint},
@@ -42,7 +43,7 @@
     pub(crate) body: Bytes,
     pub(crate) facts: RequestFacts,
     pub(crate) route: Rc<Route>,
-    pub(crate) service: ServiceId,
+    pub(crate) service: ServiceName,
     pub(crate) service_facts: Service,
     pub(crate) team: Option<Rc<Team>>,
     pub(crate) content: Rc<Content>,
@@ -217,6 +218,10 @@
     let service = route.service(entry.random()).cloned();
     let service = service
         .ok_or_else(|| Refusal::not_run(RequestEnd::RouteWithoutService, TRANSIENT_RETRY_AFTER))?;
+    if configuration.unreadable.services.contains(&service) {
+        let reason = RequestEnd::ConfigurationPartUnreadable;
+        return Err(Refusal::not_run(reason, TRANSIENT_RETRY_AFTER));
+    }
     entry.retries.borrow_mut().count_request(&service, now);
     let charging = Charge::take(entry, &facts, &route, team.clone(), request_log);
     let charge = charging.await?;
@@ -324,6 +329,10 @@
     drop(registry);
     let Some(route) = route else {
         request_log.configuration_version.set(configuration.version);
+        if configuration.unreadable.routes > 0 {
+            let reason = RequestEnd::ConfigurationPartUnreadable;
+            return Err(Refusal::not_run(reason, TRANSIENT_RETRY_AFTER));
+        }
         return Err(refuse_by_configuration(
             entry,
             StatusCode::NOT_FOUND,
@@ -356,6 +365,10 @@
             route,
             team: Some(team),
         }),
+        None if configuration.unreadable.teams > 0 => Err(Refusal::not_run(
+            RequestEnd::ConfigurationPartUnreadable,
+            TRANSIENT_RETRY_AFTER,
+        )),
         None => Err(refuse_by_configuration(
             entry,
             StatusCode::UNAUTHORIZED,
--- a/crates/camphorwall-direct/src/request_log.rs
+++ b/crates/camphorwall-direct/src/request_log.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use camphorwall::{EndpointId, RequestEnd, TeamId};
+use camphorwall::RequestEnd;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -14,6 +14,7 @@
     configuration::{Configuration, Route, RouteKind, Team},
     entry::Entry,
     metrics::Phase,
+    names::{EndpointName, TeamName},
 };
 
 /// Log lines a second for requests that were answered. Every failed request is logged.
@@ -31,7 +32,7 @@
     is_sampled: bool,
     has_ended: Cell<bool>,
     pub(crate) kind: Cell<Option<RouteKind>>,
-    pub(crate) team: RefCell<Option<TeamId>>,
+    pub(crate) team: RefCell<Option<TeamName>>,
     pub(crate) route: RefCell<Option<Box<str>>>,
     pub(crate) configuration_version: Cell<u64>,
     /// Tokens that are charged to the team.
@@ -46,8 +47,8 @@
     pub(crate) hold_off_wait: Cell<Duration>,
     /// Duration of the prefill, and its endpoint.
     pub(crate) prefill: Cell<Duration>,
-    pub(crate) prefill_endpoint: RefCell<Option<EndpointId>>,
-    pub(crate) endpoint: RefCell<Option<EndpointId>>,
+    pub(crate) prefill_endpoint: RefCell<Option<EndpointName>>,
+    pub(crate) endpoint: RefCell<Option<EndpointName>>,
     /// Time from the arrival to the head of the answer.
     pub(crate) time_to_head: Cell<Option<Duration>>,
     /// Attempts that may have run, and attempts that endpoints refused.
@@ -127,7 +128,7 @@
 
     fn write_line(&self, status: u16, outcome: RequestEnd, events: u32) {
         let ms = |duration: Duration| duration.as_millis();
-        let name = |endpoint: &RefCell<Option<EndpointId>>| {
+        let name = |endpoint: &RefCell<Option<EndpointName>>| {
             let endpoint = endpoint.borrow();
             endpoint
                 .as_ref()
--- a/crates/camphorwall-direct/src/retries.rs
+++ b/crates/camphorwall-direct/src/retries.rs
@@ -5,9 +5,8 @@
     time::Duration,
 };
 
-use camphorwall::ServiceId;
-
 use crate::clock::Moment;
+use crate::names::ServiceName;
 
 /// Share of the budget that is used. The rest is a margin for requests that are counted in one window and arrive at an
 /// endpoint in the next.
@@ -28,7 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct RetryBudget {
     bounds: RetryBounds,
-    services: HashMap<ServiceId, Counts>,
+    services: HashMap<ServiceName, Counts>,
 }
 
 #[derive(Debug, Default)]
@@ -59,7 +58,7 @@
     }
 
     /// Counts a caller's request.
-    pub(crate) fn count_request(&mut self, service: &ServiceId, now: Moment) {
+    pub(crate) fn count_request(&mut self, service: &ServiceName, now: Moment) {
         let counts = self.services.entry(service.clone()).or_default();
         counts.requests.push_back(now);
         remove_expired(&mut counts.requests, now, self.bounds.window);
@@ -67,7 +66,7 @@
 
     /// Takes one retry if any is left of this entry's part of the fleet's budget: the bounds' share of the requests
     /// that this entry has counted, and an equal part of the allowance.
-    pub(crate) fn take(&mut self, service: &ServiceId, entries: usize, now: Moment) -> bool {
+    pub(crate) fn take(&mut self, service: &ServiceName, entries: usize, now: Moment) -> bool {
         let counts = self.services.entry(service.clone()).or_default();
         remove_expired(&mut counts.requests, now, self.bounds.window);
         remove_expired(&mut counts.retries, now, self.bounds.window);
@@ -81,7 +80,7 @@
     }
 
     /// Gives back the last retry taken, which reached no endpoint.
-    pub(crate) fn give_back(&mut self, service: &ServiceId) {
+    pub(crate) fn give_back(&mut self, service: &ServiceName) {
         if let Some(counts) = self.services.get_mut(service) {
             counts.retries.pop_back();
         }
--- a/crates/camphorwall-direct/src/retries_tests.rs
+++ b/crates/camphorwall-direct/src/retries_tests.rs
@@ -1,8 +1,7 @@
 use std::time::Duration;
 
-use camphorwall::ServiceId;
-
 use crate::{
+    names::ServiceName,
     retries::{RetryBounds, RetryBudget},
     testing::at_ms,
 };
@@ -13,7 +12,7 @@
     allowance: 52.0,
 };
 
-fn service() -> ServiceId {
+fn service() -> ServiceName {
     "drafts".parse().expect("a name")
 }
 
--- a/crates/camphorwall-direct/src/return_queue.rs
+++ b/crates/camphorwall-direct/src/return_queue.rs
@@ -2,12 +2,13 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use camphorwall::{EndpointId, RequestEnd, ServiceId};
+use camphorwall::RequestEnd;
 
 use crate::{
     clock::Moment,
     configuration::{Endpoint, Stage},
     entry::Entry,
+    names::{EndpointName, ServiceName},
     notices::{Availability, first_return},
     notify::Notify,
     outcome::Progress,
@@ -24,14 +25,14 @@
 const RETURN_POLL_PERIOD: Duration = Duration::from_millis(10);
 
 /// Identifies the endpoints that a request waits for.
-pub(crate) type Pool = (ServiceId, Stage);
+pub(crate) type Pool = (ServiceName, Stage);
 
 /// Position of a waiting request: its pool, its rank there, and a number for those of equal rank.
 pub(crate) type Position = (Pool, QueueRank, u64);
 
 struct Waiter {
     /// Endpoints that the request can't use.
-    excluded: Box<[EndpointId]>,
+    excluded: Box<[EndpointName]>,
     wake: Rc<Notify>,
 }
 
@@ -75,7 +76,7 @@
         entry: &Rc<Entry>,
         pool: &Pool,
         rank: QueueRank,
-        excluded: &[EndpointId],
+        excluded: &[EndpointName],
     ) -> Self {
         let mut waiting = entry.return_queue.waiting.borrow_mut();
         let last = waiting.keys().map(|(_, _, number)| *number).max();
@@ -110,7 +111,7 @@
     admitted: &Admitted,
     progress: &Progress,
     stage: Stage,
-    excluded: &[EndpointId],
+    excluded: &[EndpointName],
     choose: impl Fn() -> Option<Rc<Endpoint>>,
 ) -> Result<Option<Rc<Endpoint>>, Refusal> {
     let pool = (admitted.service.clone(), stage);
@@ -162,7 +163,7 @@
 }
 
 /// Rejects the requests that wait for a decode endpoint if none returns in time for them.
-pub(crate) fn reject_hopeless(entry: &Entry, service: &ServiceId) {
+pub(crate) fn reject_hopeless(entry: &Entry, service: &ServiceName) {
     let now = Moment::now();
     entry.placement_queue.reject(|request| {
         let returns_at = returns_at(entry, service, Stage::Decode, &request.excluded, now);
@@ -190,9 +191,9 @@
 /// When the first endpoint of a service returns; `None` if one is available, or none is known.
 pub(crate) fn returns_at(
     entry: &Entry,
-    service: &ServiceId,
+    service: &ServiceName,
     stage: Stage,
-    excluded: &[EndpointId],
+    excluded: &[EndpointName],
     now: Moment,
 ) -> Option<Moment> {
     let registry = entry.registry.borrow();
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use camphorwall::{DataCentreId, FileError, InstanceId, read_json_with_comments};
+use crate::names::{DataCentreName, InstanceName};
+use camphorwall::{FileError, read_json_with_comments};
 use serde::Deserialize;
 
 /// Settings of one entry.
@@ -10,9 +11,9 @@
 #[serde(deny_unknown_fields)]
 pub struct DirectSettings {
     /// Name of this process in logs and among its peers.
-    pub instance: InstanceId,
+    pub instance: InstanceName,
     /// Data centre that this process runs in.
-    pub data_centre: DataCentreId,
+    pub data_centre: DataCentreName,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address that the load balancer probes for readiness.
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -14,7 +14,7 @@
     clock::Moment,
     configuration::{Configuration, Route},
     configuration_change::ConfigurationChange,
-    dialect::{ConfigurationDraft, StoreItem},
+    dialect::{ConfigurationDraft, StoreItem, UnreadableConfiguration},
     entry::Entry,
 };
 
@@ -24,6 +24,9 @@
 /// Number of routes that are parsed at once.
 const ROUTES_PER_PART: usize = 256;
 
+/// Maximum number of unreadable parts of one configuration that are logged.
+const MAX_LOGGED_ERRORS: usize = 8;
+
 /// Pause after each part of the routes.
 const PART_PAUSE: Duration = Duration::from_millis(1);
 
@@ -136,42 +139,83 @@
         began_at: Moment::now(),
     };
     let draft = (entry.dialect.store.configuration)(&item.key, value);
-    let parsed = match draft {
-        None => return,
-        Some(Ok(draft)) => parse_routes(entry, draft).await,
-        Some(Err(error)) => Err(error),
-    };
-    match parsed {
-        Ok(configuration) => put_in_force(entry, configuration, item.revision, figures),
-        Err(error) => {
-            tracing::warn!(event = "configuration_unreadable", key = &*item.key, error);
-            entry.tracker.borrow_mut().note_read(item.revision);
+    match draft {
+        None => {}
+        Some(Ok(draft)) => {
+            let configuration = parse_routes(entry, draft).await;
+            put_in_force(entry, configuration, item.revision, figures);
         }
+        Some(Err(cause)) => note_stuck(entry, item, cause),
     }
 }
 
+/// Records a configuration that can't be put in force, and logs it once.
+fn note_stuck(entry: &Entry, item: &StoreItem, cause: UnreadableConfiguration) {
+    let now = Moment::now();
+    let mut tracker = entry.tracker.borrow_mut();
+    if !tracker.note_stuck(item.revision, cause, now) {
+        return;
+    }
+    let Some(stuck) = tracker.stuck() else { return };
+    let registry = entry.registry.borrow();
+    tracing::warn!(
+        event = "configuration_unreadable",
+        key = &*item.key,
+        revision = item.revision,
+        version = stuck.cause.version,
+        in_force = registry.configuration().map(|current| current.version),
+        outdated_for_ms = now.since(stuck.since).as_millis(),
+        reason = %stuck.cause.reason,
+        error = stuck.cause.error,
+    );
+}
+
 /// Parses the routes of a configuration, with a pause after each part of them in which requests are served.
-async fn parse_routes(entry: &Entry, draft: ConfigurationDraft) -> Result<Configuration, String> {
+async fn parse_routes(entry: &Entry, draft: ConfigurationDraft) -> Configuration {
+    let ConfigurationDraft {
+        mut configuration,
+        routes: texts,
+        mut errors,
+    } = draft;
     let mut earlier = entry.parsed_routes.take();
     let mut parsed = ParsedRoutes::default();
-    let mut routes = Vec::with_capacity(draft.routes.len());
-    for (number, text) in draft.routes.iter().enumerate() {
+    let mut routes = Vec::with_capacity(texts.len());
+    for (number, text) in texts.iter().enumerate() {
         if number > 0 && number.is_multiple_of(ROUTES_PER_PART) {
             compio::time::sleep(PART_PAUSE).await;
         }
         let name = xxh3_128(text);
         let route = match earlier.remove(&name) {
             Some(route) => route,
-            None => Rc::new((entry.dialect.store.route)(text)?),
+            None => match (entry.dialect.store.route)(text) {
+                Ok(route) => Rc::new(route),
+                Err(unreadable) => {
+                    errors.push(unreadable.error);
+                    let Some(refusing) = unreadable.refusing else {
+                        configuration.unreadable.routes += 1;
+                        continue;
+                    };
+                    // Not kept for later versions, so that each of them logs the error.
+                    routes.push(Rc::new(refusing));
+                    continue;
+                }
+            },
         };
         parsed.insert(name, Rc::clone(&route));
         routes.push(route);
     }
     entry.parsed_routes.replace(parsed);
-    Ok(Configuration {
-        routes: routes.into_iter().collect(),
-        ..draft.configuration
-    })
+    for error in errors.iter().take(MAX_LOGGED_ERRORS) {
+        let version = configuration.version;
+        tracing::warn!(
+            event = "configuration_part_unreadable",
+            version,
+            parts = errors.len(),
+            error
+        );
+    }
+    configuration.routes = routes.into_iter().collect();
+    configuration
 }
 
 /// Puts a configuration in force unless a newer one is.
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -4,7 +4,6 @@
 use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use camphorwall::EndpointId;
 use futures_util::future::{self, Either};
 
 use super::{
@@ -17,6 +16,7 @@
     clock::Moment,
     dialect::{Changes, Page, StoreItem},
     entry::Entry,
+    names::EndpointName,
     registry::{EndpointChange, STALE_PROOF_AGE},
 };
 
@@ -250,7 +250,12 @@
 async fn watch_all(entry: &Entry, after: u64) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
-    let wait = proof_wait(entry.registry.borrow().proof_age(sent_at));
+    let wait = if entry.tracker.borrow().is_outdated() {
+        // Nothing is proved before the next configuration comes.
+        WATCH_WAIT
+    } else {
+        proof_wait(entry.registry.borrow().proof_age(sent_at))
+    };
     let path = (store.watch_path)("", after, wait);
     let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
     if !body.is_complete {
@@ -272,8 +277,11 @@
     }
     let elapsed = Moment::now().since(sent_at);
     let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
-    entry.tracker.borrow_mut().confirm(changes.revision);
-    entry.registry.borrow_mut().prove(known_to);
+    let mut tracker = entry.tracker.borrow_mut();
+    tracker.confirm(changes.revision);
+    if !tracker.is_outdated() {
+        entry.registry.borrow_mut().prove(known_to);
+    }
     Ok(StoreUpdate {
         revision: changes.revision.max(after),
         known_to: Some(known_to),
@@ -310,7 +318,7 @@
 ) -> Result<StoreUpdate, StoreError> {
     let sent_at = Moment::now();
     let is_current = entry.registry.borrow().has_fresh_proof(sent_at);
-    let wait = if is_current || entry.tracker.borrow().needs_read() {
+    let wait = if is_current || entry.tracker.borrow().is_outdated() {
         WATCH_WAIT
     } else {
         STALE_WAIT
@@ -369,7 +377,7 @@
     let mut registry = entry.registry.borrow_mut();
     if tracker.needs_read() {
         entry.configuration_wanted.notify();
-    } else {
+    } else if !tracker.is_outdated() {
         registry.prove(proved_at);
     }
     if registry.keys_digest() == reported.keys_digest {
@@ -407,7 +415,7 @@
     }
 }
 
-fn endpoint_id(entry: &Entry, key: &str) -> Option<EndpointId> {
+fn endpoint_id(entry: &Entry, key: &str) -> Option<EndpointName> {
     let name = key.strip_prefix(entry.dialect.store.endpoints_prefix)?;
-    name.parse().ok()
+    (!name.is_empty()).then(|| EndpointName::from(Box::from(name)))
 }
--- a/crates/camphorwall-direct/src/store/readers.rs
+++ b/crates/camphorwall-direct/src/store/readers.rs
@@ -2,7 +2,8 @@
 
 use std::{cmp::Reverse, collections::HashMap, net::SocketAddr};
 
-use camphorwall::{DataCentreId, rendezvous_rank};
+use crate::names::DataCentreName;
+use camphorwall::rendezvous_rank;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of entries of a data centre that read the store themselves. One may be dead, frozen or partitioned for a
@@ -14,7 +15,7 @@
 pub(crate) type CentreKey = u16;
 
 /// Returns the key of a data centre.
-pub(crate) fn centre_key(data_centre: &DataCentreId) -> CentreKey {
+pub(crate) fn centre_key(data_centre: &DataCentreName) -> CentreKey {
     let [first, second, ..] = xxh3_64(data_centre.as_str().as_bytes()).to_le_bytes();
     CentreKey::from_le_bytes([first, second])
 }
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -1,6 +1,10 @@
 use std::time::Duration;
 
-use crate::{store::tracker::ConfigurationTracker, testing::at_ms};
+use crate::{
+    dialect::{UnreadableConfiguration, UnreadableReason},
+    store::tracker::ConfigurationTracker,
+    testing::at_ms,
+};
 
 /// A tracker that read a configuration of revision 5, confirmed to be the newest up to revision 8.
 fn confirmed() -> ConfigurationTracker {
@@ -66,3 +70,32 @@
         (12, Some(12))
     );
 }
+
+/// Guards against a configuration that can't be put in force and ends as proof for the one before it.
+#[test]
+fn a_configuration_that_can_not_be_read_keeps_the_one_before_outdated_until_a_newer_one_is() {
+    let mut tracker = confirmed();
+    let cause = UnreadableConfiguration {
+        version: Some(90),
+        reason: UnreadableReason::WrongFields,
+        error: "no routes".into(),
+    };
+    assert!(tracker.note_stuck(10, cause.clone(), at_ms(1_000)));
+    assert!(!tracker.note_stuck(10, cause, at_ms(2_000)), "it is known");
+    tracker.confirm(30);
+    assert!(tracker.is_outdated() && !tracker.needs_read());
+    assert_eq!(
+        tracker.outdated_for(at_ms(3_000)),
+        Some(Duration::from_secs(2))
+    );
+    // What followers are told: their own configuration is the newest up to the one that can't be read.
+    assert_eq!(
+        (tracker.confirmed_to(), tracker.changed_after()),
+        (Some(9), Some(9))
+    );
+    tracker.note_change(30, at_ms(4_000));
+    assert!(tracker.needs_read());
+    tracker.note_read(31);
+    assert!(!tracker.is_outdated());
+    assert_eq!(tracker.outdated_for(at_ms(5_000)), None);
+}
--- a/crates/camphorwall-direct/src/suspicion.rs
+++ b/crates/camphorwall-direct/src/suspicion.rs
@@ -6,10 +6,9 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use camphorwall::EndpointId;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Moment, loads::endpoint_key};
+use crate::{clock::Moment, loads::endpoint_key, names::EndpointName};
 
 /// Time for which an unreachable endpoint is skipped; it doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
@@ -175,13 +174,13 @@
     }
 
     /// Records that the endpoint accepted no connection, and reports it to the peers.
-    pub(crate) fn note_unreachable(&mut self, endpoint: &EndpointId, now: Moment) {
+    pub(crate) fn note_unreachable(&mut self, endpoint: &EndpointName, now: Moment) {
         self.note_unresponsive(endpoint, now);
         self.unreported(endpoint_key(endpoint)).is_unreachable = true;
     }
 
     /// Records that the endpoint did not respond in time. Whether it is slow for others too is theirs to find out.
-    pub(crate) fn note_unresponsive(&mut self, endpoint: &EndpointId, now: Moment) {
+    pub(crate) fn note_unresponsive(&mut self, endpoint: &EndpointName, now: Moment) {
         let record = self.record(endpoint_key(endpoint), now);
         let backoff = INITIAL_BACKOFF * 2_u32.saturating_pow(record.unreachable_count.min(8));
         record.unreachable_count += 1;
@@ -189,7 +188,7 @@
     }
 
     /// Records a request that the endpoint accepted and failed.
-    pub(crate) fn note_failure(&mut self, endpoint: &EndpointId, now: Moment) {
+    pub(crate) fn note_failure(&mut self, endpoint: &EndpointName, now: Moment) {
         let endpoint = endpoint_key(endpoint);
         self.record(endpoint, now).note(0, 1, now);
         let unreported = self.unreported(endpoint);
@@ -197,7 +196,7 @@
     }
 
     /// Records a request that the endpoint answered.
-    pub(crate) fn note_success(&mut self, endpoint: &EndpointId, now: Moment) {
+    pub(crate) fn note_success(&mut self, endpoint: &EndpointName, now: Moment) {
         let endpoint = endpoint_key(endpoint);
         let unreported = self.unreported(endpoint);
         unreported.answered = unreported.answered.saturating_add(1);
@@ -210,14 +209,14 @@
 
     /// Whether the endpoint is skipped at present.
     #[must_use]
-    pub(crate) fn is_unreachable(&self, endpoint: &EndpointId, now: Moment) -> bool {
+    pub(crate) fn is_unreachable(&self, endpoint: &EndpointName, now: Moment) -> bool {
         let record = self.records.get(&endpoint_key(endpoint));
         record.is_some_and(|record| now < record.skipped_until)
     }
 
     /// Share of the endpoint's next requests that it is expected to lose.
     #[must_use]
-    pub(crate) fn expected_loss(&self, endpoint: &EndpointId, now: Moment) -> f64 {
+    pub(crate) fn expected_loss(&self, endpoint: &EndpointName, now: Moment) -> f64 {
         let record = self.records.get(&endpoint_key(endpoint));
         record.map_or(0.0, |record| record.expected_loss(now))
     }
@@ -229,7 +228,7 @@
     }
 
     /// Forgets an endpoint that has been removed.
-    pub(crate) fn forget(&mut self, endpoint: &EndpointId) {
+    pub(crate) fn forget(&mut self, endpoint: &EndpointName) {
         self.records.remove(&endpoint_key(endpoint));
     }
 }
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -2,14 +2,14 @@
 
 use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
-use camphorwall::EndpointId;
 use http::Request;
 
 use crate::{
     clock::Moment,
     configuration::{Endpoint, Route, RouteKind, Stage, Team},
-    dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect},
+    dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect, UnreadableRoute},
     entry::Entry,
+    names::EndpointName,
     quota::WaitLimits,
     settings::{Bounds, DirectSettings},
 };
@@ -57,7 +57,7 @@
     }
 }
 
-pub(crate) fn endpoint_id(name: &str) -> EndpointId {
+pub(crate) fn endpoint_id(name: &str) -> EndpointName {
     name.parse().expect("a name")
 }
 
@@ -101,7 +101,12 @@
             })
         },
         configuration: |_, _| None,
-        route: |_| Err("no route".into()),
+        route: |_| {
+            Err(Box::new(UnreadableRoute {
+                error: "no route".into(),
+                refusing: None,
+            }))
+        },
         endpoint: |_, _| Err("no endpoint".into()),
     },
 };
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -18,6 +18,8 @@
     CallerLeft,
     /// A newer configuration is known that is not in force here yet.
     ConfigurationOutdated,
+    /// A part of the configuration that the request may need could not be read.
+    ConfigurationPartUnreadable,
     /// The request, or others with the same part in their prompts, crashed several endpoints.
     CrashesEndpoints,
     /// The endpoint answered with a failure.
@@ -91,6 +93,9 @@
             Self::ConfigurationOutdated => {
                 "a newer configuration is known or may exist that is not in force here yet, which may allow the request; look for configuration_not_read"
             }
+            Self::ConfigurationPartUnreadable => {
+                "a route, service or team of the configuration in force that the request may need can't be read; look for configuration_part_unreadable"
+            }
             Self::CrashesEndpoints => {
                 "endpoints crashed three times before they began to answer the request, or others with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
             }
