Doubt a removal only after an outage that a sound entry has not contradicted

What callers saw: while an entry's reader had a flaky way to the store, cut for 200 ms in each second, 33 of 2,069 orders reached endpoints more than 2 s after their registrations were removed, and one got no answer when its endpoint exited.

Cause: a registration that is missing after an outage is kept for 2.2 s, since living endpoints may have failed to renew theirs. One failed call was the evidence for an outage, this entry's own or its reader's, and each further one renewed the 2.2 s. Lost history counted as a failed call too.

Evidence: removals.rs, four entries with ways to the store that a test closes. On 4 of 5 cases fail: one or both readers flaky, and lost history.

Change: store_contact.rs. An outage is an interruption of 1.5 s or more; shorter failures don't renew the doubt. A removal is final once any entry with a sound way has seen its revision, which heartbeats and readers' answers carry. The 2.2 s count from the store's return, not from the last failure before it. After a failed call the next one asks for an answer at once.

Why: a removal now carries whether the way by which it was seen was sound, so it means the same however an entry learns of it.

--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -37,6 +37,7 @@
 mod signals;
 mod stall;
 mod store;
+mod store_contact;
 mod stream;
 mod suspicion;
 mod upstream;
@@ -82,6 +83,8 @@
 #[cfg(test)]
 mod stall_tests;
 #[cfg(test)]
+mod store_contact_tests;
+#[cfg(test)]
 mod suspicion_tests;
 #[cfg(test)]
 mod testing;
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/peers.rs
@@ -62,6 +62,8 @@
     pub(crate) data_centre: CentreKey,
     /// Whether the entry reads the store itself, so that peers may follow it.
     pub(crate) reads_store: bool,
+    /// Revision of the store up to which an entry with a sound way to it has seen all changes.
+    pub(crate) sound_revision: u64,
     /// Rate of the entry's link; 0 if it is not known.
     pub(crate) link_mbps: u32,
     /// Whether the entry serves callers with keys.
@@ -354,6 +356,7 @@
             sequence: peers.sequence,
             data_centre: peers.data_centre,
             reads_store: entry.reads_store.get() && !entry.is_leaving(),
+            sound_revision: entry.registry.borrow().contact.sound_revision(),
             link_mbps: entry.settings().link_mbps_or_zero(),
             is_serving: entry.is_serving(now),
             peers: reported_peers,
@@ -448,6 +451,12 @@
     peer.is_serving = heartbeat.is_serving;
     peers.note_waiting(from, &heartbeat.waiting, now);
     drop(peers);
+    {
+        let mut registry = entry.registry.borrow_mut();
+        registry
+            .contact
+            .note_sound_revision(heartbeat.sound_revision);
+    }
     for leaving in heartbeat.leaving {
         if entry.notices.borrow_mut().note_peer(leaving, now) {
             let registry = entry.registry.borrow();
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/registry.rs
@@ -6,12 +6,9 @@
     clock::Moment,
     configuration::{Configuration, Endpoint, EndpointIncarnation, KeysDigest, Stage},
     names::{EndpointName, ServiceName},
+    store_contact::StoreContact,
 };
 
-/// Time after the last failed call to the store in which a missing registration counts as expired rather than as
-/// removed. A living endpoint registers again within two seconds of the store's return.
-const STORE_RECOVERY_PERIOD: Duration = Duration::from_millis(2_200);
-
 /// Part of the withdrawal bound in which no new request is admitted. It covers differences of clock rates and the time
 /// that a request takes through the entry.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(400);
@@ -41,7 +38,7 @@
     registrations: HashMap<EndpointName, Registration>,
     /// Revisions of removals, so that a page of an older list doesn't bring an endpoint back.
     removed_at: HashMap<EndpointName, u64>,
-    store_failed_at: Option<Moment>,
+    pub(crate) contact: StoreContact,
 }
 
 /// Effect of a change of the registrations.
@@ -132,17 +129,6 @@
             .is_some_and(|age| age <= STALE_PROOF_AGE)
     }
 
-    /// Records a failed call to the store.
-    pub(crate) fn note_store_failure(&mut self, now: Moment) {
-        self.store_failed_at = self.store_failed_at.max(Some(now));
-    }
-
-    /// Time since the last call to the store that failed.
-    #[must_use]
-    pub(crate) fn store_failed_age(&self, now: Moment) -> Option<Duration> {
-        self.store_failed_at.map(|failed_at| now.since(failed_at))
-    }
-
     /// Applies a registration.
     pub(crate) fn register(&mut self, endpoint: Endpoint, revision: u64) -> EndpointChange {
         let is_outdated = |known: u64| known >= revision;
@@ -178,14 +164,14 @@
         revision: u64,
         now: Moment,
     ) -> EndpointChange {
-        let is_store_recovering = self.is_store_recovering(now);
+        let is_in_doubt = self.contact.is_in_doubt(revision, now);
         let Some(known) = self.registrations.get_mut(id) else {
             return EndpointChange::Unchanged;
         };
         if known.revision >= revision {
             return EndpointChange::Unchanged;
         }
-        if is_store_recovering && !known.endpoint.is_draining {
+        if is_in_doubt && !known.endpoint.is_draining {
             known.revision = revision;
             known.has_expired = true;
             return EndpointChange::Expired;
@@ -195,35 +181,37 @@
         EndpointChange::Removed
     }
 
-    /// Applies a complete list: registrations missing from it are removed.
-    pub(crate) fn keep_only(&mut self, listed: &[EndpointName], revision: u64, now: Moment) {
+    /// Applies a complete list: registrations missing from it are removed. Returns what changed.
+    pub(crate) fn keep_only(
+        &mut self,
+        listed: &[EndpointName],
+        revision: u64,
+        now: Moment,
+    ) -> Vec<(EndpointName, EndpointChange)> {
         let missing: Vec<_> = self
             .registrations
             .keys()
             .filter(|id| !listed.contains(id))
             .cloned()
             .collect();
-        for id in missing {
-            self.remove(&id, revision, now);
-        }
-    }
-
-    /// Whether a registration may be missing because it could not be renewed during an outage of the store.
-    fn is_store_recovering(&self, now: Moment) -> bool {
-        let failed_at = self.store_failed_at;
-        failed_at.is_some_and(|failed_at| now.since(failed_at) < STORE_RECOVERY_PERIOD)
+        let missing = missing.into_iter();
+        missing
+            .map(|id| {
+                let change = self.remove(&id, revision, now);
+                (id, change)
+            })
+            .collect()
     }
 
-    /// Drops the endpoints whose registrations expired and were not renewed once the store has recovered, and returns
-    /// them.
+    /// Drops the endpoints whose registrations are missing and can no longer be in doubt, and returns them.
     pub(crate) fn drop_expired(&mut self, now: Moment) -> Vec<EndpointName> {
-        if self.is_store_recovering(now) {
-            return Vec::new();
-        }
+        let is_gone = |registration: &Registration| {
+            registration.has_expired && !self.contact.is_in_doubt(registration.revision, now)
+        };
         let expired: Vec<_> = self
             .registrations
             .iter()
-            .filter(|(_, registration)| registration.has_expired)
+            .filter(|(_, registration)| is_gone(registration))
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
@@ -241,11 +229,9 @@
         stage: Stage,
         now: Moment,
     ) -> impl Iterator<Item = &'a Rc<Endpoint>> {
-        let is_store_recovering = self.is_store_recovering(now);
         let takes_work = move |registration: &&Registration| {
             let endpoint = &registration.endpoint;
-            let is_present = !registration.has_expired || is_store_recovering;
-            is_present
+            self.is_present(registration, now)
                 && endpoint.service == *service
                 && endpoint.stage == stage
                 && !endpoint.is_draining
@@ -254,12 +240,16 @@
         taking.map(|registration| &registration.endpoint)
     }
 
+    /// Whether an endpoint counts as registered.
+    fn is_present(&self, registration: &Registration, now: Moment) -> bool {
+        !registration.has_expired || self.contact.is_in_doubt(registration.revision, now)
+    }
+
     /// Whether an endpoint still takes new work.
     #[must_use]
     pub(crate) fn takes_work(&self, endpoint: &Endpoint, now: Moment) -> bool {
         self.registrations.get(&endpoint.id).is_some_and(|known| {
-            let is_present = !known.has_expired || self.is_store_recovering(now);
-            is_present
+            self.is_present(known, now)
                 && !known.endpoint.is_draining
                 && known.endpoint.started_ms == endpoint.started_ms
         })
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -33,6 +33,9 @@
     HistoryDiscarded,
     #[strum(to_string = "{0}")]
     Failed(String),
+    /// Nothing came in time, so that what was last heard is from before the call.
+    #[strum(to_string = "{0}")]
+    Silent(String),
 }
 
 impl From<upstream::SendError> for StoreError {
@@ -113,7 +116,7 @@
         let next = compio::time::timeout(left, answer.body.next()).await;
         let next = next.map_err(|_| {
             let received = body.len();
-            StoreError::Failed(format!(
+            StoreError::Silent(format!(
                 "the answer of {store} stopped or is too slow after {received} of {announced:?} bytes in {elapsed:?}: \
                  nothing for {left:?}, at least {MIN_BYTES_PER_S} B/s expected"
             ))
@@ -159,7 +162,7 @@
     let timeout = limits.head_timeout;
     let answer = compio::time::timeout(timeout, upstream::send(store, request)).await;
     let answer = answer
-        .map_err(|_| StoreError::Failed(format!("no answer of {store} within {timeout:?}")))??;
+        .map_err(|_| StoreError::Silent(format!("no answer of {store} within {timeout:?}")))??;
     match answer.parts.status {
         StatusCode::OK => Ok(answer),
         StatusCode::GONE => Err(StoreError::HistoryDiscarded),
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -100,6 +100,7 @@
     let mut is_store_unreachable = false;
     loop {
         let source = choose_source(&entry, source);
+        let called_at = Moment::now();
         let update = match (revision, source) {
             (None, _) => list_endpoints(&entry).await,
             (Some(revision), Source::Store) => watch(&entry, revision).await,
@@ -114,6 +115,11 @@
                     .mirror
                     .borrow_mut()
                     .advance(update.revision, update.known_to);
+                if source == Source::Store {
+                    let mut registry = entry.registry.borrow_mut();
+                    let contact = &mut registry.contact;
+                    contact.note_known_revision(update.revision, Moment::now());
+                }
                 if is_store_unreachable {
                     tracing::info!(event = "store_regained", revision = update.revision);
                 }
@@ -128,27 +134,30 @@
             (Err(StoreError::HistoryDiscarded), Source::Store) => {
                 tracing::info!(event = "store_history_lost");
                 let now = Moment::now();
-                entry.registry.borrow_mut().note_store_failure(now);
+                let mut registry = entry.registry.borrow_mut();
+                registry.contact.note_answer(called_at, WATCH_WAIT, now);
+                drop(registry);
                 // A change of the configuration may be among the lost ones.
                 entry.tracker.borrow_mut().suspect_change(now);
                 entry.configuration_wanted.notify();
                 revision = None;
             }
-            (Err(StoreError::Failed(error)), Source::Neighbour(reader)) if revision.is_some() => {
-                tracing::info!(event = "store_reader_failed", %reader, error);
+            (Err(error), Source::Neighbour(reader)) if revision.is_some() => {
+                tracing::info!(event = "store_reader_failed", %reader, %error);
                 let until = Moment::now() + READER_AVOIDANCE;
                 entry.peers.borrow_mut().avoid_reader(reader, until);
             }
-            (Err(StoreError::Failed(error)), _) => {
+            (Err(error), _) => {
                 if !is_store_unreachable {
-                    tracing::warn!(event = "store_lost", error);
+                    tracing::warn!(event = "store_lost", %error);
                 }
                 is_store_unreachable = true;
                 note_reads_store(&entry, false);
-                entry
-                    .registry
-                    .borrow_mut()
-                    .note_store_failure(Moment::now());
+                let since = match error {
+                    StoreError::Silent(_) => called_at,
+                    StoreError::Failed(_) | StoreError::HistoryDiscarded => Moment::now(),
+                };
+                entry.registry.borrow_mut().contact.note_failure(since);
                 compio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -156,6 +165,12 @@
     }
 }
 
+/// Records an answer of the store before its removals are applied, since what they mean depends on it.
+fn note_store_answer(entry: &Entry, sent_at: Moment, wait: Duration) {
+    let mut registry = entry.registry.borrow_mut();
+    registry.contact.note_answer(sent_at, wait, Moment::now());
+}
+
 fn drop_expired(entry: &Entry) {
     let expired = entry.registry.borrow_mut().drop_expired(Moment::now());
     for endpoint in expired {
@@ -169,6 +184,7 @@
     let known_to = Moment::now();
     let prefix = entry.dialect.store.endpoints_prefix;
     let (items, revision) = list(entry, prefix).await?;
+    note_store_answer(entry, known_to, Duration::ZERO);
     let mut keys = Vec::with_capacity(items.len());
     for item in items {
         apply_endpoint(entry, &item);
@@ -179,7 +195,9 @@
         .filter_map(|key| endpoint_id(entry, key))
         .collect();
     let mut registry = entry.registry.borrow_mut();
-    registry.keep_only(&ids, revision, Moment::now());
+    for (endpoint, change) in registry.keep_only(&ids, revision, Moment::now()) {
+        tracing::info!(event = "endpoint_changed", %endpoint, %change, revision);
+    }
     entry.mirror.borrow_mut().keep_only(&keys, revision);
     Ok(StoreUpdate {
         revision,
@@ -199,9 +217,11 @@
         let page = call_store(entry, &path, Duration::ZERO, usize::MAX).await;
         let page: Page = match page {
             Ok(body) => (store.page)(&body.bytes).map_err(StoreError::Failed)?,
-            Err(StoreError::Failed(error)) if !items.is_empty() && failures < MAX_PAGE_FAILURES => {
+            Err(error @ (StoreError::Failed(_) | StoreError::Silent(_)))
+                if !items.is_empty() && failures < MAX_PAGE_FAILURES =>
+            {
                 failures += 1;
-                tracing::info!(event = "list_page_failed", items = items.len(), error);
+                tracing::info!(event = "list_page_failed", items = items.len(), %error);
                 compio::time::sleep(RETRY_PAUSE).await;
                 continue;
             }
@@ -250,7 +270,9 @@
 async fn watch_all(entry: &Entry, after: u64) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
-    let wait = if entry.tracker.borrow().is_outdated() {
+    let wait = if entry.registry.borrow().contact.is_failing() {
+        NO_WAIT
+    } else if entry.tracker.borrow().is_outdated() {
         // Nothing is proved before the next configuration comes.
         WATCH_WAIT
     } else {
@@ -258,6 +280,7 @@
     };
     let path = (store.watch_path)("", after, wait);
     let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
+    note_store_answer(entry, sent_at, wait);
     if !body.is_complete {
         let now = Moment::now();
         entry.tracker.borrow_mut().note_change(after, now);
@@ -296,8 +319,11 @@
 ) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
+    let is_failing = entry.registry.borrow().contact.is_failing();
+    let wait = if is_failing { NO_WAIT } else { wait };
     let path = (store.watch_path)(store.endpoints_prefix, revision, wait);
     let body = call_store(entry, &path, wait, usize::MAX).await?;
+    note_store_answer(entry, sent_at, wait);
     let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
     for item in &changes.items {
         apply_endpoint(entry, item);
@@ -328,10 +354,13 @@
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
     let received_at = Moment::now();
-    if let Some(age_ms) = response.store_failed_ms {
+    {
         // Recorded before the removals are applied, since some may be expired registrations of living endpoints.
-        let failed_at = received_at - Duration::from_millis(age_ms.into());
-        entry.registry.borrow_mut().note_store_failure(failed_at);
+        let outage_age = response.outage_age_ms;
+        let ended_at = outage_age.map(|age_ms| received_at - Duration::from_millis(age_ms.into()));
+        let contact = &mut entry.registry.borrow_mut().contact;
+        contact.note_reader_answer(ended_at, received_at);
+        contact.note_sound_revision(response.sound_revision);
     }
     for item in response.items {
         apply_endpoint(
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -29,8 +29,10 @@
     /// Time for which the reader held the call. The follower adds it to the moment when it sent the call, which bounds
     /// the response's age without a common clock.
     pub(crate) waited_ms: u32,
-    /// Time since a call of the reader to the store last failed.
-    pub(crate) store_failed_ms: Option<u32>,
+    /// Time since the end of an outage after which registrations may still be missing; 0 during one.
+    pub(crate) outage_age_ms: Option<u32>,
+    /// Highest revision up to which an entry with a sound way to the store has seen all changes.
+    pub(crate) sound_revision: u64,
 }
 
 /// What a reader knows of the newest configuration. Configurations are large and change rarely, so followers get them by
@@ -145,13 +147,15 @@
     let Some(items) = mirror.changes(after) else {
         return refuse(StatusCode::GONE);
     };
+    let contact = &entry.registry.borrow().contact;
     let response = ChangesResponse {
         revision: mirror.revision(),
         items,
         age_ms: ceil_ms(age),
         configuration,
         waited_ms: whole_ms(now.since(received_at)),
-        store_failed_ms: entry.registry.borrow().store_failed_age(now).map(ceil_ms),
+        outage_age_ms: contact.outage_age(now).map(whole_ms),
+        sound_revision: contact.sound_revision(),
     };
     match postcard::to_stdvec(&response) {
         Ok(bytes) => Response::new(full_body(bytes)),
