Suspect every request at a crash, and blame by what crashes have in common

What callers saw: one request crashed each engine that sent its first event.

Cause: a crash counted against a request only if it had got no event. Answers that broke off in a plain body or a prefill's were not checked for a crash at all. On the other side, crashes at one moment each counted against a lookup that was at all of them, and one request retried at three prefill endpoints got the common first part of its prompt blocked.

Change: every request that was at a crashed endpoint is a suspect, with its events. It is blocked for three separate crashes at the same point of its run that no other request, prompt part or crash at the same moment explains; with a companion in all of them, or at points that differ, for five. Prompt parts are judged as before, but not by three crashes of one request within 0.3 s.

Why: what blames a request is now the same in every phase of its run, and requests that met the same crashes by chance differ in the point, in company or in time. Tests of poison_tests.rs that put three crashes of one request at one moment have them a second apart, since those count once now.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -389,13 +389,11 @@
                 fingerprint = content.fingerprint.0,
             );
             entry.suspicions.borrow_mut().note_unreachable(&id, now);
-            if events == 0 {
-                let mut poison = entry.poison.borrow_mut();
-                poison.note_crash(crash, &content, sent_at, broke_at);
-                drop(poison);
-                entry.work_changes.notify();
-                entry.apply_suspect(&content);
-            }
+            let mut poison = entry.poison.borrow_mut();
+            poison.note_crash(crash, &content, events, sent_at, broke_at);
+            drop(poison);
+            entry.work_changes.notify();
+            entry.apply_suspect(&content);
         });
     }
 
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -69,6 +69,8 @@
 #[cfg(test)]
 mod placement_tests;
 #[cfg(test)]
+mod poison_streams_tests;
+#[cfg(test)]
 mod poison_tests;
 #[cfg(test)]
 mod quota_tests;
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/plain.rs
@@ -32,6 +32,9 @@
 /// Maximum number of times that one request is sent again after an endpoint refused it.
 const MAX_REFUSALS: u32 = 2;
 
+/// Events that count as sent of a plain answer that breaks off in its body.
+const BROKEN_ANSWER_EVENTS: u32 = 1;
+
 /// Multiple of the route's target after which an attempt that can be retried is abandoned.
 const SLOW_FACTOR: u32 = 2;
 
@@ -199,12 +202,13 @@
         .inspect_err(|error| {
             tracing::info!(event = "answer_broke", request_id = admitted.id(), %endpoint, %error);
             entry.suspicions.borrow_mut().note_failure(&endpoint, now);
+            entry.check_for_crash(&placement.endpoint, admitted, sent_at, BROKEN_ANSWER_EVENTS);
         })?;
     if !parts.status.is_server_error() {
         entry.suspicions.borrow_mut().note_success(&endpoint, now);
-        let mut poison = entry.poison.borrow_mut();
-        poison.note_begun(&admitted.content, sent_at, now);
-        poison.note_answer(admitted.content.fingerprint, now);
+        if start.is_complete {
+            note_answered(entry, admitted, sent_at);
+        }
     }
     remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
@@ -220,6 +224,8 @@
         entry: Rc::clone(entry),
         admitted: Rc::clone(admitted),
         placement,
+        sent_at,
+        is_success: !parts.status.is_server_error(),
         start: Some((start.bytes, memory)),
         body,
     };
@@ -242,6 +248,14 @@
     }
 }
 
+/// Records a whole answer, which shows that the request is harmless.
+fn note_answered(entry: &Entry, admitted: &Admitted, sent_at: Moment) {
+    let now = Moment::now();
+    let mut poison = entry.poison.borrow_mut();
+    poison.note_begun(&admitted.content, sent_at, now);
+    poison.note_answer(admitted.content.fingerprint, now);
+}
+
 /// A body that keeps its memory reserved until it has been sent.
 fn held_body(bytes: Bytes, memory: MemoryShare) -> BoxedBody {
     // The closure only holds the reservation; a complete body has no errors.
@@ -256,6 +270,8 @@
     entry: Rc<Entry>,
     admitted: Rc<Admitted>,
     placement: Placement,
+    sent_at: Moment,
+    is_success: bool,
     /// What has been read, until it is passed on, with its memory.
     start: Option<(Bytes, MemoryShare)>,
     body: AnswerBody,
@@ -271,7 +287,12 @@
         let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         match &next {
             Ok(Some(_)) => {}
-            Ok(None) => self.admitted.request_log.end(200, RequestEnd::Answered, 0),
+            Ok(None) => {
+                if self.is_success {
+                    note_answered(&self.entry, &self.admitted, self.sent_at);
+                }
+                self.admitted.request_log.end(200, RequestEnd::Answered, 0);
+            }
             Err(error) => self.note_broken_off(error),
         }
         next.transpose()
@@ -283,6 +304,12 @@
         tracing::info!(event = "answer_broke", request_id = self.admitted.id(), %endpoint, %error);
         let mut suspicions = self.entry.suspicions.borrow_mut();
         suspicions.note_failure(endpoint, Moment::now());
+        drop(suspicions);
+        if error.kind() != io::ErrorKind::TimedOut {
+            let (endpoint, sent_at) = (&self.placement.endpoint, self.sent_at);
+            let entry = &self.entry;
+            entry.check_for_crash(endpoint, &self.admitted, sent_at, BROKEN_ANSWER_EVENTS);
+        }
         self.admitted.request_log.end(200, RequestEnd::BrokeOff, 0);
     }
 }
--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -1,8 +1,11 @@
 //! Finds out what crashes endpoints, a whole request or a part of its prompt, and blocks requests that contain it.
 //!
-//! An engine that can't bear a prompt crashes as soon as it begins to write the answer. Therefore the suspects of a crash
-//! are the requests that the endpoint had not begun to answer. Their prompt parts stay suspected until an answer to a
-//! later request with the same part begins.
+//! Every request that was at an endpoint when it crashed is a suspect, whatever it had received. A request is blamed for
+//! crashes that it met at the same point of its run, each after the one before, and that no other suspect explains: one that
+//! only ran beside a harmful one, or at endpoints that were killed, meets them at points that differ, or with companions.
+//!
+//! An engine that can't bear a prompt part crashes as soon as it begins to write the answer. Prompt parts are suspected in
+//! requests that the endpoint had not begun to answer, until an answer to a later request with the same part begins.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -16,6 +19,25 @@
 /// Number of crashes from which on what they have in common is blocked.
 const MIN_CRASHES: usize = 3;
 
+/// Number of crashes for what is less certain: those that a request met with a companion, or at points that differ.
+const MIN_UNCERTAIN_CRASHES: usize = 5;
+
+/// Number of events from which on an answer is under way. An endpoint that crashes as it begins an answer may have sent one.
+pub(crate) const BEGUN_EVENTS: u32 = 2;
+
+/// Divisor of a run's events that gives the difference within which two crashes happened at the same point of a run.
+const POINT_PART: u32 = 16;
+
+/// Time over which the crashes of one request must extend to incriminate its prompt parts: other requests with a part that
+/// many share begin within it, and clear the part.
+const MIN_PART_EVIDENCE: Duration = Duration::from_millis(300);
+
+/// Time within which crashes of several endpoints count as one event.
+const SAME_MOMENT: Duration = Duration::from_millis(100);
+
+/// Time between two crashes from which on both count against a request although its second run began before the first crash.
+const SEPARATE_CRASHES: Duration = Duration::from_millis(500);
+
 /// Time after its last crash for which a request is blocked, and a prompt part with the minimum of crashes. For a part,
 /// each further crash doubles it.
 const BLOCK_DURATION: Duration = Duration::from_secs(60);
@@ -64,13 +86,15 @@
     Parts(Vec<PromptPart>),
 }
 
-/// A request that an endpoint had not begun to answer when it crashed.
+/// A request that was at an endpoint when it crashed.
 #[derive(Debug)]
 struct Suspect {
     /// Parts of its prompt that may be the cause.
     parts: Vec<PromptPart>,
-    /// Whether the whole request was answered later.
-    is_answered: bool,
+    /// Events that the endpoint had sent.
+    run_events: u32,
+    /// Whether the request went further later, so that another one caused the crash.
+    is_cleared: bool,
     sent_at: Moment,
     crashed_at: Moment,
     urgent_reports: u32,
@@ -78,6 +102,22 @@
 }
 
 impl Suspect {
+    fn times(&self) -> CrashTimes {
+        CrashTimes {
+            crashed_at: self.crashed_at,
+            sent_at: self.sent_at,
+        }
+    }
+
+    /// Whether another crash happened at the same point of the run.
+    fn is_at_point_of(&self, other: &Self) -> bool {
+        if self.run_events < BEGUN_EVENTS {
+            return other.run_events < BEGUN_EVENTS;
+        }
+        let difference = self.run_events.abs_diff(other.run_events);
+        difference <= 1 + self.run_events / POINT_PART
+    }
+
     fn report_urgently(&mut self, now: Moment) {
         self.urgent_reports = URGENT_REPORTS;
         self.next_report_at = now;
@@ -91,7 +131,9 @@
     pub(crate) crash: EndpointIncarnation,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) parts: Vec<PromptPart>,
-    pub(crate) is_answered: bool,
+    /// Events that the endpoint had sent.
+    pub(crate) run_events: u32,
+    pub(crate) is_cleared: bool,
     /// Time since the request was sent to the endpoint, in milliseconds.
     pub(crate) sent_age_ms: u32,
     /// Time since the crash, in milliseconds.
@@ -103,17 +145,28 @@
 pub(crate) struct Poison(HashMap<(EndpointIncarnation, Fingerprint), Suspect>);
 
 impl Poison {
-    /// Records that an endpoint crashed at `crashed_at` before it began to answer a request.
+    /// Records that an endpoint crashed at `crashed_at` when it had sent `run_events` events of the answer to a request.
     pub(crate) fn note_crash(
         &mut self,
         crash: EndpointIncarnation,
         content: &Content,
+        run_events: u32,
         sent_at: Moment,
         crashed_at: Moment,
     ) {
+        let known = self.0.get(&(crash, content.fingerprint));
+        if known.is_some_and(|known| known.run_events > run_events) {
+            // Of several runs of one request, the one that had gone furthest counts.
+            return;
+        }
+        let parts = match run_events {
+            0 => content.shared_parts.clone(),
+            _ => Vec::new(),
+        };
         let mut suspect = Suspect {
-            parts: content.shared_parts.clone(),
-            is_answered: false,
+            parts,
+            run_events,
+            is_cleared: false,
             sent_at,
             crashed_at,
             urgent_reports: 0,
@@ -131,13 +184,18 @@
             crash,
             fingerprint,
             parts,
-            is_answered,
+            run_events,
+            is_cleared,
             sent_age_ms,
             crash_age_ms,
         } = reported;
         if let Some(known) = self.0.get_mut(&(crash, fingerprint)) {
             known.parts.retain(|part| parts.contains(part));
-            known.is_answered |= is_answered;
+            known.is_cleared |= is_cleared;
+            if known.run_events < run_events {
+                known.run_events = run_events;
+                known.sent_at = now - Duration::from_millis(sent_age_ms.into());
+            }
             return None;
         }
         let content = Content {
@@ -146,7 +204,8 @@
         };
         let suspect = Suspect {
             parts,
-            is_answered,
+            run_events,
+            is_cleared,
             sent_at: now - Duration::from_millis(sent_age_ms.into()),
             crashed_at: now - Duration::from_millis(crash_age_ms.into()),
             urgent_reports: 0,
@@ -181,11 +240,30 @@
         }
     }
 
+    /// Records that the answer to a request that was sent at `sent_at` is under way: the request caused none of the crashes
+    /// that it met as its answer began before that.
+    pub(crate) fn note_under_way(
+        &mut self,
+        fingerprint: Fingerprint,
+        sent_at: Moment,
+        now: Moment,
+    ) {
+        for ((_, suspected), suspect) in &mut self.0 {
+            let is_cleared = *suspected == fingerprint
+                && suspect.run_events < BEGUN_EVENTS
+                && suspect.crashed_at <= sent_at;
+            if is_cleared && !suspect.is_cleared {
+                suspect.is_cleared = true;
+                suspect.report_urgently(now);
+            }
+        }
+    }
+
     /// Clears a request that was answered completely: another request must have crashed its endpoints.
     pub(crate) fn note_answer(&mut self, fingerprint: Fingerprint, now: Moment) {
         for ((_, suspected), suspect) in &mut self.0 {
-            if *suspected == fingerprint && !suspect.is_answered {
-                suspect.is_answered = true;
+            if *suspected == fingerprint && !suspect.is_cleared {
+                suspect.is_cleared = true;
                 suspect.report_urgently(now);
             }
         }
@@ -211,7 +289,8 @@
                 crash: key.0,
                 fingerprint: key.1,
                 parts: suspect.parts.clone(),
-                is_answered: suspect.is_answered,
+                run_events: suspect.run_events,
+                is_cleared: suspect.is_cleared,
                 sent_age_ms: age_ms(suspect.sent_at),
                 crash_age_ms: age_ms(suspect.crashed_at),
             }
@@ -235,20 +314,108 @@
             .or_else(|| self.request_block(content.fingerprint, now))
     }
 
+    /// The block of a request for crashes that nothing else explains.
     fn request_block(&self, fingerprint: Fingerprint, now: Moment) -> Option<Block> {
-        let suspects = self.0.iter();
-        let crashed_at = suspects.filter_map(|((_, suspected), suspect)| {
-            (*suspected == fingerprint && !suspect.is_answered).then_some(suspect.crashed_at)
-        });
-        let crashed_at: Vec<_> = crashed_at.collect();
-        let until = *crashed_at.iter().max()? + BLOCK_DURATION;
-        (crashed_at.len() >= MIN_CRASHES && now <= until).then_some(Block {
+        let own = self.crashes_of(fingerprint);
+        if own.len() < MIN_CRASHES {
+            return None;
+        }
+        let is_unexplained = |(crash, suspect): &(&EndpointIncarnation, &&Suspect)| {
+            !self.is_explained(**crash, fingerprint, own.len())
+                && !self.has_others_at(suspect.crashed_at, &own)
+        };
+        let own: BTreeMap<_, _> = own.iter().filter(is_unexplained).collect();
+        let times = |is_meant: &dyn Fn(&Suspect) -> bool| {
+            let meant = own.values().filter(|suspect| is_meant(suspect));
+            separate_crashes(meant.map(|suspect| suspect.times()))
+        };
+        let alike = own
+            .values()
+            .map(|one| times(&|other| one.is_at_point_of(other)));
+        let alike = alike.max().unwrap_or(0);
+        let all = times(&|_| true);
+        let has_companion = self
+            .requests_in_all(own.keys().copied().copied())
+            .any(|other| other != fingerprint);
+        let crashes = match (alike, all) {
+            (MIN_CRASHES.., _) if !has_companion => alike,
+            (MIN_UNCERTAIN_CRASHES.., _) => alike,
+            (_, MIN_UNCERTAIN_CRASHES..) if !has_companion => all,
+            _ => return None,
+        };
+        let last = own.values().map(|suspect| suspect.crashed_at).max()?;
+        let until = last + BLOCK_DURATION;
+        (now <= until).then_some(Block {
             cause: BlockCause::Request,
-            crashes: crashed_at.len(),
+            crashes,
             until,
         })
     }
 
+    /// Requests that are suspected of each of some crashes.
+    fn requests_in_all(
+        &self,
+        mut crashes: impl Iterator<Item = EndpointIncarnation> + Clone,
+    ) -> impl Iterator<Item = Fingerprint> {
+        let first = crashes.next();
+        let records = self.0.iter();
+        let suspects = records
+            .filter(move |((crash, _), suspect)| Some(*crash) == first && !suspect.is_cleared);
+        let suspects = suspects.map(|((_, fingerprint), _)| *fingerprint);
+        suspects.filter(move |fingerprint| {
+            let its_crashes = self.crashes_of(*fingerprint);
+            crashes
+                .clone()
+                .all(|crash| its_crashes.contains_key(&crash))
+        })
+    }
+
+    /// Crashes of which a request is suspected.
+    fn crashes_of(&self, fingerprint: Fingerprint) -> BTreeMap<EndpointIncarnation, &Suspect> {
+        let records = self.0.iter();
+        let own = records
+            .filter(|((_, suspected), suspect)| *suspected == fingerprint && !suspect.is_cleared);
+        own.map(|((crash, _), suspect)| (*crash, suspect)).collect()
+    }
+
+    /// Whether endpoints at which a request was not, as its own crashes tell, crashed at the same moment.
+    fn has_others_at(&self, moment: Moment, own: &BTreeMap<EndpointIncarnation, &Suspect>) -> bool {
+        self.0.iter().any(|((crash, _), other)| {
+            let distance = other
+                .crashed_at
+                .since(moment)
+                .max(moment.since(other.crashed_at));
+            distance <= SAME_MOMENT && !own.contains_key(crash)
+        })
+    }
+
+    /// Whether another request, or a prompt part that a request lacks, explains a crash better than the request itself, which
+    /// is suspected of `own_count` crashes.
+    fn is_explained(
+        &self,
+        crash: EndpointIncarnation,
+        fingerprint: Fingerprint,
+        own_count: usize,
+    ) -> bool {
+        let own_parts = self.0.get(&(crash, fingerprint));
+        let own_parts = own_parts.map_or(&[][..], |suspect| &suspect.parts);
+        let others = self.0.iter();
+        let mut others = others.filter(|((at, other), _)| *at == crash && *other != fingerprint);
+        others.any(|((_, other), suspect)| {
+            let explains_by_part = |part: &&PromptPart| {
+                let crashes = self.crashes_with(**part).into_values();
+                !own_parts.contains(part) && consecutive_crashes(crashes) >= MIN_CRASHES
+            };
+            let its_crashes = self.crashes_of(*other);
+            let count = its_crashes.len();
+            let times = its_crashes.into_values().map(Suspect::times);
+            let explains_by_count = count > own_count
+                && !suspect.is_cleared
+                && consecutive_crashes(times) >= MIN_CRASHES;
+            explains_by_count || suspect.parts.iter().any(|part| explains_by_part(&part))
+        })
+    }
+
     /// The block of the prompt parts that explain most crashes, if a request has all of them.
     ///
     /// Parts with the same crashes are equally likely to be the cause. A request with only some of them is sent: its answer
@@ -256,9 +423,18 @@
     fn part_block(&self, parts: &[PromptPart], now: Moment) -> Option<Block> {
         let blocks = parts.iter().filter_map(|part| {
             let crashes = self.crashes_with(*part);
-            let count = consecutive_crashes(&crashes);
+            let count = consecutive_crashes(crashes.values().copied());
             let doublings = u32::try_from(count.checked_sub(MIN_CRASHES)?).unwrap_or(u32::MAX);
+            let first = crashes.values().map(|times| times.crashed_at).min()?;
             let last = crashes.values().map(|times| times.crashed_at).max()?;
+            let is_by_one = || {
+                self.requests_in_all(crashes.keys().copied())
+                    .next()
+                    .is_some()
+            };
+            if last.since(first) < MIN_PART_EVIDENCE && is_by_one() {
+                return None;
+            }
             let duration = BLOCK_DURATION.saturating_mul(2_u32.saturating_pow(doublings));
             let until = last + duration.min(MAX_BLOCK_DURATION);
             let alike = self.inseparable_parts(*part, &crashes)?;
@@ -277,10 +453,7 @@
         let mut crashes = BTreeMap::new();
         for ((crash, _), suspect) in &self.0 {
             if suspect.parts.contains(&part) {
-                let times = CrashTimes {
-                    crashed_at: suspect.crashed_at,
-                    sent_at: suspect.sent_at,
-                };
+                let times = suspect.times();
                 let known = crashes.entry(*crash).or_insert(times);
                 known.crashed_at = known.crashed_at.min(times.crashed_at);
                 known.sent_at = known.sent_at.max(times.sent_at);
@@ -327,13 +500,28 @@
 
 /// Number of crashes each of whose suspects was sent after the crash before. Several endpoints that crash together, for
 /// another reason, count once: a part that many requests share may be in the requests that begin at all of them.
-fn consecutive_crashes(crashes: &BTreeMap<EndpointIncarnation, CrashTimes>) -> usize {
-    let mut times: Vec<_> = crashes.values().collect();
+fn consecutive_crashes(crashes: impl Iterator<Item = CrashTimes>) -> usize {
+    count_crashes(crashes, |times, last| times.sent_at >= last)
+}
+
+/// Number of crashes that don't belong to one event, also those of a request that comes again before its last run has crashed.
+fn separate_crashes(crashes: impl Iterator<Item = CrashTimes>) -> usize {
+    count_crashes(crashes, |times, last| {
+        times.sent_at >= last || times.crashed_at >= last + SEPARATE_CRASHES
+    })
+}
+
+/// Counts crashes in the order of time, those that count after the last counted one.
+fn count_crashes(
+    crashes: impl Iterator<Item = CrashTimes>,
+    counts_after: impl Fn(&CrashTimes, Moment) -> bool,
+) -> usize {
+    let mut times: Vec<_> = crashes.collect();
     times.sort_by_key(|times| times.crashed_at);
     let mut last_counted: Option<Moment> = None;
     let mut count = 0;
     for times in times {
-        if last_counted.is_none_or(|crashed_at| times.sent_at >= crashed_at) {
+        if last_counted.is_none_or(|last| counts_after(&times, last)) {
             last_counted = Some(times.crashed_at);
             count += 1;
         }
--- /dev/null
+++ b/crates/camphorwall-direct/src/poison_streams_tests.rs
@@ -0,0 +1,289 @@
+//! Plays streams at endpoints that crash: by a request that comes again and again, or by kills that no request causes.
+
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
+
+use crate::{
+    configuration::EndpointIncarnation,
+    poison::{BEGUN_EVENTS, Content, Fingerprint, Poison},
+    testing::at_ms,
+};
+
+const ENDPOINTS: usize = 9;
+const DOWN_MS: u64 = 3_000;
+const EVENT_MS: u64 = 100;
+const HARMFUL: Fingerprint = Fingerprint(66);
+
+/// Time after the third crash from which on the block counts, and the attempts that may reach endpoints after that.
+const CONTACT_MS: u64 = 3_000;
+const ALLOWED_RETRIES: usize = 3;
+
+/// What crashes endpoints.
+#[derive(Clone, Copy, Debug)]
+enum Cause {
+    /// A request that comes every 1.6 s and crashes its endpoint after a number of events.
+    Request { after_events: u32 },
+    /// Kills of a number of endpoints at once, at a period.
+    Kills { count: usize, period_ms: u64 },
+    /// Both, the harmful request with one event.
+    Both { count: usize, period_ms: u64 },
+}
+
+impl Cause {
+    fn harmful_after(self) -> Option<u32> {
+        match self {
+            Self::Request { after_events } => Some(after_events),
+            Self::Both { .. } => Some(1),
+            Self::Kills { .. } => None,
+        }
+    }
+
+    fn kills(self, now_ms: u64) -> usize {
+        match self {
+            Self::Kills { count, period_ms } | Self::Both { count, period_ms } => {
+                let is_due = now_ms > 3_000 && now_ms.is_multiple_of(period_ms);
+                if is_due { count } else { 0 }
+            }
+            Self::Request { .. } => 0,
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Stream {
+    fingerprint: Fingerprint,
+    endpoint: usize,
+    sent_ms: u64,
+    begins_ms: u64,
+    run_events: u32,
+    left_events: u32,
+    is_resumable: bool,
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    harmful_sent_ms: Vec<u64>,
+    harmful_crashes_ms: Vec<u64>,
+    sound_sent: u32,
+    sound_refused: u32,
+}
+
+impl Totals {
+    fn late_retries(&self) -> usize {
+        let third = self.harmful_crashes_ms.get(2);
+        let is_late = |sent_ms: &&u64| third.is_some_and(|third| **sent_ms > third + CONTACT_MS);
+        self.harmful_sent_ms.iter().filter(is_late).count()
+    }
+}
+
+struct World {
+    random: SmallRng,
+    poison: Poison,
+    streams: Vec<Stream>,
+    down_until_ms: [u64; ENDPOINTS],
+    crashes: u64,
+    totals: Totals,
+}
+
+impl World {
+    /// Sends a stream unless its request is blocked.
+    fn send(&mut self, mut stream: Stream, now_ms: u64) {
+        let content = content(stream.fingerprint);
+        let is_harmful = stream.fingerprint == HARMFUL;
+        let is_blocked = self.poison.block(&content, at_ms(now_ms)).is_some();
+        self.totals.sound_sent += u32::from(!is_harmful);
+        if is_blocked {
+            self.totals.sound_refused += u32::from(!is_harmful);
+            return;
+        }
+        let up: Vec<_> = (0..ENDPOINTS)
+            .filter(|endpoint| self.down_until_ms[*endpoint] <= now_ms)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        if is_harmful {
+            self.totals.harmful_sent_ms.push(now_ms);
+        }
+        stream.endpoint = up[self.random.random_range(0..up.len())];
+        stream.sent_ms = now_ms;
+        stream.begins_ms = now_ms + 10 * self.random.random_range(15..50);
+        stream.run_events = 0;
+        self.streams.push(stream);
+    }
+
+    /// Crashes an endpoint; its resumable streams go on elsewhere, and some callers repeat the others.
+    fn crash(&mut self, endpoint: usize, now_ms: u64) {
+        self.crashes += 1;
+        self.down_until_ms[endpoint] = now_ms + DOWN_MS;
+        let (broken, kept): (Vec<_>, Vec<_>) = self
+            .streams
+            .drain(..)
+            .partition(|stream| stream.endpoint == endpoint);
+        self.streams = kept;
+        for stream in &broken {
+            let (crash, sent_at) = (EndpointIncarnation(self.crashes), at_ms(stream.sent_ms));
+            let (content, now) = (content(stream.fingerprint), at_ms(now_ms));
+            self.poison
+                .note_crash(crash, &content, stream.run_events, sent_at, now);
+        }
+        for mut stream in broken {
+            if stream.is_resumable {
+                stream.left_events -= stream.run_events.min(stream.left_events - 1);
+                self.send(stream, now_ms + 30);
+            } else if stream.fingerprint != HARMFUL && self.random.random_bool(0.5) {
+                stream.left_events += stream.run_events;
+                self.send(stream, now_ms + 30);
+            }
+        }
+    }
+}
+
+fn content(fingerprint: Fingerprint) -> Content {
+    Content {
+        fingerprint,
+        shared_parts: Vec::new(),
+    }
+}
+
+/// Plays 40 s with about sixty streams under way.
+fn play(seed: u64, cause: Cause) -> Totals {
+    let mut world = World {
+        random: SmallRng::seed_from_u64(seed),
+        poison: Poison::default(),
+        streams: Vec::new(),
+        down_until_ms: [0; ENDPOINTS],
+        crashes: 0,
+        totals: Totals::default(),
+    };
+    for now_ms in (0..40_000).step_by(10) {
+        let new_stream = |fingerprint, left_events, is_resumable| Stream {
+            fingerprint,
+            endpoint: 0,
+            sent_ms: 0,
+            begins_ms: 0,
+            run_events: 0,
+            left_events,
+            is_resumable,
+        };
+        if world.random.random_bool(0.12) {
+            let (events, is_resumable) = (
+                world.random.random_range(5..90),
+                world.random.random_bool(0.5),
+            );
+            let fingerprint = Fingerprint(1_000 + now_ms);
+            world.send(new_stream(fingerprint, events, is_resumable), now_ms);
+        }
+        let harmful_after = cause.harmful_after();
+        if harmful_after.is_some() && now_ms > 2_000 && now_ms.is_multiple_of(1_600) {
+            world.send(new_stream(HARMFUL, 1_000, false), now_ms);
+        }
+        let mut crashing = Vec::new();
+        for stream in &mut world.streams {
+            let is_due =
+                now_ms >= stream.begins_ms && (now_ms - stream.begins_ms).is_multiple_of(EVENT_MS);
+            if stream.fingerprint == HARMFUL && harmful_after == Some(stream.run_events) && is_due {
+                crashing.push(stream.endpoint);
+            } else if is_due {
+                stream.run_events += 1;
+                stream.left_events -= 1;
+            }
+        }
+        for stream in &world.streams {
+            if stream.run_events == BEGUN_EVENTS || stream.left_events == 0 {
+                let (content, now) = (content(stream.fingerprint), at_ms(now_ms));
+                let sent_at = at_ms(stream.sent_ms);
+                world
+                    .poison
+                    .note_under_way(content.fingerprint, sent_at, now);
+            }
+            if stream.left_events == 0 {
+                world.poison.note_answer(stream.fingerprint, at_ms(now_ms));
+            }
+        }
+        world.streams.retain(|stream| stream.left_events > 0);
+        for _ in &crashing {
+            world.totals.harmful_crashes_ms.push(now_ms);
+        }
+        for _ in 0..cause.kills(now_ms) {
+            crashing.push(world.random.random_range(0..ENDPOINTS));
+        }
+        for endpoint in crashing {
+            if world.down_until_ms[endpoint] <= now_ms {
+                world.crash(endpoint, now_ms);
+            }
+        }
+    }
+    world.totals
+}
+
+/// Guards against a request that crashes endpoint after endpoint and is never blocked, as it had begun to be answered.
+#[rstest]
+#[case::before_the_first_event(0)]
+#[case::after_the_first_event(1)]
+#[case::after_some_events(5)]
+#[case::after_many_events(30)]
+fn a_request_that_crashes_endpoints_is_blocked_whenever_it_does(#[case] after_events: u32) {
+    for seed in 0..50 {
+        let totals = play(seed, Cause::Request { after_events });
+        let late = totals.late_retries();
+        assert!(late <= ALLOWED_RETRIES, "seed {seed}: {late} late retries");
+        assert!(
+            totals.sound_refused * 100 <= totals.sound_sent,
+            "seed {seed}: {} of {} sound ones refused",
+            totals.sound_refused,
+            totals.sound_sent
+        );
+    }
+}
+
+/// Guards against sound requests that are blocked because endpoints were killed around them.
+#[rstest]
+#[case::one_after_another(Cause::Kills { count: 1, period_ms: 700 })]
+#[case::one_now_and_then(Cause::Kills { count: 1, period_ms: 3_000 })]
+#[case::three_at_once(Cause::Kills { count: 3, period_ms: 4_000 })]
+#[case::six_at_once(Cause::Kills { count: 6, period_ms: 5_000 })]
+#[case::beside_a_harmful_request(Cause::Both { count: 1, period_ms: 2_500 })]
+fn sound_requests_are_not_blocked_for_crashes_of_another_cause(#[case] cause: Cause) {
+    let (mut refused, mut sent) = (0, 0);
+    for seed in 0..50 {
+        let totals = play(seed, cause);
+        let late = totals.late_retries();
+        assert!(late <= ALLOWED_RETRIES, "seed {seed}: {late} late retries");
+        refused += totals.sound_refused;
+        sent += totals.sound_sent;
+    }
+    assert!(refused * 1_000 <= sent, "{refused} of {sent} refused");
+}
+
+/// Guards against a request that is blocked because it was under way at several endpoints that crashed at the same moment.
+#[test]
+fn crashes_at_the_same_moment_count_once_against_a_request() {
+    let mut poison = Poison::default();
+    let lookup = content(Fingerprint(7));
+    for number in 0..5 {
+        let (sent_at, now) = (at_ms(1_000), at_ms(1_100 + number));
+        poison.note_crash(EndpointIncarnation(number), &lookup, 0, sent_at, now);
+    }
+    assert_eq!(poison.block(&lookup, at_ms(1_200)), None);
+}
+
+/// Guards against a long stream that is blocked for three crashes which a harmful request beside it caused.
+#[test]
+fn a_request_that_was_in_more_crashes_explains_them() {
+    let mut poison = Poison::default();
+    let (harmful, stream) = (content(HARMFUL), content(Fingerprint(7)));
+    for number in 0..4 {
+        let now = at_ms(1_000 + 2_000 * number);
+        let sent_at = now - Duration::from_millis(500);
+        let crash = EndpointIncarnation(number);
+        poison.note_crash(crash, &harmful, 1, sent_at, now);
+        if number > 0 {
+            poison.note_crash(crash, &stream, 1, sent_at, now);
+        }
+    }
+    assert!(poison.block(&harmful, at_ms(8_000)).is_some());
+    assert_eq!(poison.block(&stream, at_ms(8_000)), None);
+}
--- a/crates/camphorwall-direct/src/poison_tests.rs
+++ b/crates/camphorwall-direct/src/poison_tests.rs
@@ -35,7 +35,7 @@
 /// Notes crash `number`, which happened 100 ms after the request was sent.
 fn crash(poison: &mut Poison, number: u64, content: &Content, at: Moment) {
     let sent_at = at - Duration::from_millis(100);
-    poison.note_crash(EndpointIncarnation(number), content, sent_at, at);
+    poison.note_crash(EndpointIncarnation(number), content, 0, sent_at, at);
 }
 
 fn is_blocked(poison: &Poison, content: &Content, at: Moment) -> bool {
@@ -46,44 +46,44 @@
 fn a_request_is_blocked_after_three_crashes() {
     let mut poison = Poison::default();
     for number in 1..=3 {
-        assert!(!is_blocked(&poison, &request(), at_ms(0)));
-        crash(&mut poison, number, &request(), at_ms(0));
+        assert!(!is_blocked(&poison, &request(), at_ms(3_000)));
+        crash(&mut poison, number, &request(), at_ms(1_000 * number));
     }
-    assert!(is_blocked(&poison, &request(), at_ms(0)));
-    assert!(!is_blocked(&poison, &with_parts(8, &[]), at_ms(0)));
+    assert!(is_blocked(&poison, &request(), at_ms(3_000)));
+    assert!(!is_blocked(&poison, &with_parts(8, &[]), at_ms(3_000)));
 }
 
 #[test]
 fn a_crash_that_several_entries_report_counts_once() {
     let (mut here, mut there) = (Poison::default(), Poison::default());
     for number in 1..=2 {
-        crash(&mut here, number, &request(), at_ms(0));
-        crash(&mut there, number, &request(), at_ms(0));
+        crash(&mut here, number, &request(), at_ms(1_000 * number));
+        crash(&mut there, number, &request(), at_ms(1_000 * number));
     }
-    for suspect in there.report(at_ms(10)) {
-        assert!(here.note_peer(suspect, at_ms(10)).is_none());
+    for suspect in there.report(at_ms(2_010)) {
+        assert!(here.note_peer(suspect, at_ms(2_010)).is_none());
     }
-    assert!(!is_blocked(&here, &request(), at_ms(10)));
+    assert!(!is_blocked(&here, &request(), at_ms(2_010)));
 }
 
 #[test]
 fn an_answered_request_is_cleared() {
     let mut poison = Poison::default();
-    crash(&mut poison, 1, &request(), at_ms(0));
-    crash(&mut poison, 2, &request(), at_ms(0));
-    poison.note_answer(REQUEST, at_ms(0));
-    crash(&mut poison, 3, &request(), at_ms(0));
-    assert!(!is_blocked(&poison, &request(), at_ms(0)));
+    crash(&mut poison, 1, &request(), at_ms(1_000));
+    crash(&mut poison, 2, &request(), at_ms(2_000));
+    poison.note_answer(REQUEST, at_ms(2_500));
+    crash(&mut poison, 3, &request(), at_ms(3_000));
+    assert!(!is_blocked(&poison, &request(), at_ms(3_000)));
 }
 
 #[test]
 fn a_block_expires_after_a_minute_without_a_crash() {
     let mut poison = Poison::default();
     for number in 0..3 {
-        crash(&mut poison, number, &request(), at_ms(0));
+        crash(&mut poison, number, &request(), at_ms(1_000 * number));
     }
-    assert!(is_blocked(&poison, &request(), at_ms(60_000)));
-    assert!(!is_blocked(&poison, &request(), at_ms(60_001)));
+    assert!(is_blocked(&poison, &request(), at_ms(62_000)));
+    assert!(!is_blocked(&poison, &request(), at_ms(62_001)));
 }
 
 #[test]
@@ -277,7 +277,8 @@
             for request in broken {
                 let sent_at = at_ms(request.left_ms);
                 let poison = &mut entries[request.entry];
-                poison.note_crash(EndpointIncarnation(crashes), &request.content, sent_at, now);
+                let crash = EndpointIncarnation(crashes);
+                poison.note_crash(crash, &request.content, 0, sent_at, now);
             }
             sent.retain(|request| request.endpoint != endpoint);
         }
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/prefill.rs
@@ -186,6 +186,8 @@
             tracing::info!(event = "answer_broke", request_id = admitted.id(), endpoint = %endpoint.id, %error);
             let mut suspicions = entry.suspicions.borrow_mut();
             suspicions.note_failure(&endpoint.id, Moment::now());
+            drop(suspicions);
+            entry.check_for_crash(endpoint, admitted, sent_at, 0);
             return PrefillOutcome::Failed;
         }
     };
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -18,6 +18,7 @@
     loads::{ForecastRun, Run, Work},
     outcome::{AttemptOutcome, Progress, attempt_on},
     placement::{Placement, PlacementRequest, QueueRank, candidates},
+    poison::BEGUN_EVENTS,
     prefill::{Prefilled, free_kv_cache, prefill},
     refusal::Refusal,
     request::Admitted,
@@ -536,12 +537,10 @@
                     placement.advance(events.count.saturating_mul(self.event_tokens));
                     let now = Moment::now();
                     self.pauses.note_events(events.count, now);
-                    if self.run_events == 0 {
-                        let mut poison = self.entry.poison.borrow_mut();
-                        poison.note_begun(&self.admitted.content, self.sent_at, now);
-                    }
+                    let earlier_events = self.run_events;
                     self.events = self.events.saturating_add(events.count);
                     self.run_events = self.run_events.saturating_add(events.count);
+                    self.note_run(earlier_events, now);
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
                 }
@@ -594,6 +593,18 @@
         self.is_event_stream && (is_empty || self.splitter.is_inside_event())
     }
 
+    /// Records how far the answer has come since `earlier_events`, which tells what can't have caused crashes before.
+    fn note_run(&self, earlier_events: u32, now: Moment) {
+        let (content, sent_at) = (&self.admitted.content, self.sent_at);
+        let mut poison = self.entry.poison.borrow_mut();
+        if earlier_events == 0 {
+            poison.note_begun(content, sent_at, now);
+        }
+        if (earlier_events..self.run_events).contains(&(BEGUN_EVENTS - 1)) {
+            poison.note_under_way(content.fingerprint, sent_at, now);
+        }
+    }
+
     fn note_complete(&mut self) {
         let generated = self.events.saturating_mul(self.event_tokens);
         if let Some(estimate) = self.admitted.facts.output_estimate_tokens {
