--- a/crates/camphorwall-direct/src/poison.rs
+++ b/crates/camphorwall-direct/src/poison.rs
@@ -378,7 +378,7 @@
         own.map(|((crash, _), suspect)| (*crash, suspect)).collect()
     }
 
-    /// Whether endpoints at which a request was not, as its own crashes tell, crashed at the same moment.
+    /// Whether other endpoints, without this request, crashed at the same time.
     fn has_others_at(&self, moment: Moment, own: &BTreeMap<EndpointIncarnation, &Suspect>) -> bool {
         self.0.iter().any(|((crash, _), other)| {
             let distance = other
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -88,7 +88,7 @@
         tracker.outdated_for(at_ms(3_000)),
         Some(Duration::from_secs(2))
     );
-    // What followers are told: their own configuration is the newest up to the one that can't be read.
+    // Followers must not take the stuck revision for confirmed.
     assert_eq!(
         (tracker.confirmed_to(), tracker.changed_after()),
         (Some(9), Some(9))
--- a/crates/camphorwall-direct/src/store_contact.rs
+++ b/crates/camphorwall-direct/src/store_contact.rs
@@ -1,4 +1,4 @@
-//! Tells registrations that were removed from those that expired because endpoints could not reach the store.
+//! Distinguishes removed registrations from those that expired during an outage of the store.
 //!
 //! A failed call shows that the way of one entry to the store is interrupted, not that the store was away for the endpoints. A
 //! removal is in doubt only after an interruption that was long enough for registrations to expire, and only until any entry
@@ -12,8 +12,7 @@
 /// registers again within two seconds of the store's return.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2_200);
 
-/// Shortest interruption in which registrations may expire: an endpoint misses three heartbeats before that, which are about
-/// a second apart.
+/// Minimum duration of an outage. Registrations expire after three missed heartbeats, about one per second.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// Maximum delay of an answer by a store that works.
@@ -108,7 +107,7 @@
         revision > self.sound_revision && self.is_recovering(now)
     }
 
-    /// Whether an outage goes on, or ended so recently that living endpoints may not have registered again.
+    /// Whether there is an outage, or one ended within the recovery period.
     fn is_recovering(&self, now: Moment) -> bool {
         let ends_at = self.outage_ended_at.map(|at| at + RECOVERY_PERIOD);
         let is_interrupted = self.failing_since.is_some_and(|since| {
--- a/crates/camphorwall-direct/src/store_contact_tests.rs
+++ b/crates/camphorwall-direct/src/store_contact_tests.rs
@@ -86,8 +86,8 @@
     }
 }
 
-/// Plays entries that tell each other of revisions seen by a sound way, and returns how long after its removal each entry still
-/// counts the endpoint as registered.
+/// Plays entries that exchange their sound revisions. Returns for each how long it keeps the removed endpoint, in
+/// milliseconds.
 fn play(readers: &mut [Reader], removed_ms: u64, end_ms: u64) -> Vec<u64> {
     let mut kept_ms = vec![0; readers.len()];
     for now_ms in (1_000..end_ms).step_by(10) {
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/stream.rs
@@ -593,7 +593,7 @@
         self.is_event_stream && (is_empty || self.splitter.is_inside_event())
     }
 
-    /// Records how far the answer has come since `earlier_events`, which tells what can't have caused crashes before.
+    /// Clears the request and its prompt parts of earlier crashes once the answer has passed that point.
     fn note_run(&self, earlier_events: u32, now: Moment) {
         let (content, sent_at) = (&self.admitted.content, self.sent_at);
         let mut poison = self.entry.poison.borrow_mut();
