--- a/crates/camphorwall-direct/src/choice.rs
+++ b/crates/camphorwall-direct/src/balance/choice.rs
@@ -1,6 +1,6 @@
 //! Chooses the endpoint that gets a request, by pure functions over the state of the candidates.
 
-use crate::loads::Run;
+use crate::balance::loads::Run;
 
 /// State of one candidate endpoint.
 #[derive(Clone, Debug, Default)]
--- a/crates/camphorwall-direct/src/choice_tests.rs
+++ b/crates/camphorwall-direct/src/balance/choice_tests.rs
@@ -1,6 +1,6 @@
 use rstest::rstest;
 
-use crate::{
+use crate::balance::{
     choice::{Candidate, FillLimit, choose_decode, choose_plain, choose_prefill, peak_tokens},
     loads::Run,
 };
--- a/crates/camphorwall-direct/src/lengths_tests.rs
+++ b/crates/camphorwall-direct/src/balance/lengths_tests.rs
@@ -1,4 +1,4 @@
-use super::lengths::{LengthForecast, LengthModel};
+use crate::balance::lengths::{LengthForecast, LengthModel};
 use crate::names::ServiceName;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
--- a/crates/camphorwall-direct/src/loads.rs
+++ b/crates/camphorwall-direct/src/balance/loads.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::lengths::LengthForecast;
+use crate::balance::lengths::LengthForecast;
 use crate::names::{EndpointName, ServiceName};
 
 /// Hash by which entries identify an endpoint in heartbeats.
--- a/crates/camphorwall-direct/src/loads_tests.rs
+++ b/crates/camphorwall-direct/src/balance/loads_tests.rs
@@ -1,4 +1,4 @@
-use crate::loads::{Loads, ReportedWork, Run, Work, endpoint_key};
+use crate::balance::loads::{Loads, ReportedWork, Run, Work, endpoint_key};
 use crate::names::EndpointName;
 
 const PEER: u64 = 7;
--- /dev/null
+++ b/crates/camphorwall-direct/src/balance/mod.rs
@@ -0,0 +1,18 @@
+//! Chooses endpoints for requests and holds requests that wait for capacity.
+
+pub(crate) mod choice;
+pub(crate) mod lengths;
+pub(crate) mod loads;
+pub(crate) mod placement;
+pub(crate) mod return_queue;
+
+#[cfg(test)]
+mod choice_tests;
+#[cfg(test)]
+mod lengths_tests;
+#[cfg(test)]
+mod loads_tests;
+#[cfg(test)]
+mod placement_tests;
+#[cfg(test)]
+mod return_queue_tests;
--- a/crates/camphorwall-direct/src/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -9,15 +9,16 @@
 use futures_channel::oneshot;
 
 use crate::{
-    choice::{Candidate, FillLimit, choose_decode},
+    balance::{
+        choice::{Candidate, FillLimit, choose_decode},
+        loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
+    },
     clock::Moment,
     configuration::{Endpoint, Stage},
+    endpoints::{notices::Availability, poison::Content},
     entry::Entry,
-    loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
     names::{EndpointName, ServiceName},
-    notices::Availability,
     notify::Notify,
-    poison::Content,
 };
 
 /// Share of an engine's KV cache capacity that is reserved for later requests that can be in time. Without it, fewer
--- a/crates/camphorwall-direct/src/placement_tests.rs
+++ b/crates/camphorwall-direct/src/balance/placement_tests.rs
@@ -1,13 +1,15 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use crate::{
+    balance::{
+        lengths::LengthModel,
+        loads::{ForecastRun, Run, Work, service_key},
+        placement::{Placement, PlacementRequest, QueueRank, ReportedWaiter, run_placement_queue},
+    },
     clock::Moment,
     configuration::Stage,
+    endpoints::poison::{Content, Fingerprint},
     entry::Entry,
-    lengths::LengthModel,
-    loads::{ForecastRun, Run, Work, service_key},
-    placement::{Placement, PlacementRequest, QueueRank, ReportedWaiter, run_placement_queue},
-    poison::{Content, Fingerprint},
     testing::{endpoint, entry_with_empty_dialect},
 };
 
--- a/crates/camphorwall-direct/src/return_queue.rs
+++ b/crates/camphorwall-direct/src/balance/return_queue.rs
@@ -5,17 +5,16 @@
 use camphorwall::RequestEnd;
 
 use crate::{
+    balance::placement::QueueRank,
     clock::Moment,
     configuration::{Endpoint, Stage},
+    endpoints::notices::{Availability, first_return},
     entry::Entry,
     names::{EndpointName, ServiceName},
-    notices::{Availability, first_return},
     notify::Notify,
-    outcome::Progress,
-    placement::QueueRank,
-    refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
+    serve::{outcome::Progress, refusal::Refusal},
 };
 
 /// Longest polling interval while all endpoints hold requests off; a new endpoint may register meanwhile.
--- a/crates/camphorwall-direct/src/return_queue_tests.rs
+++ b/crates/camphorwall-direct/src/balance/return_queue_tests.rs
@@ -1,7 +1,9 @@
 use crate::{
+    balance::{
+        placement::QueueRank,
+        return_queue::{Pool, Turn},
+    },
     configuration::Stage,
-    placement::QueueRank,
-    return_queue::{Pool, Turn},
     testing::{at_ms, endpoint, endpoint_id, entry_with_empty_dialect},
 };
 
--- a/crates/camphorwall-direct/src/charge.rs
+++ b/crates/camphorwall-direct/src/contract/charge.rs
@@ -5,11 +5,11 @@
 use crate::{
     clock::Moment,
     configuration::{Route, Team},
+    contract::quota::{ChargeOutcome, Ticket, WaitLimits},
     dialect::RequestFacts,
     entry::Entry,
-    quota::{ChargeOutcome, Ticket, WaitLimits},
-    refusal::Refusal,
     request_log::RequestLog,
+    serve::refusal::Refusal,
 };
 
 /// Share of the route's target latency that a request may wait for its team's tokens and still be answered in time.
--- a/crates/camphorwall-direct/src/quota_tests.rs
+++ b/crates/camphorwall-direct/src/contract/quota_tests.rs
@@ -7,7 +7,9 @@
 use crate::{
     clock::Moment,
     configuration::Team,
-    quota::{ChargeOutcome, Quotas, ReportedAccount, TeamKey, Ticket, WaitLimits, usable_share},
+    contract::quota::{
+        ChargeOutcome, Quotas, ReportedAccount, TeamKey, Ticket, WaitLimits, usable_share,
+    },
     testing::{at_ms, team, wait_limits_until},
 };
 
--- a/crates/camphorwall-direct/src/retries_tests.rs
+++ b/crates/camphorwall-direct/src/contract/retries_tests.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use crate::{
+    contract::retries::{RetryBounds, RetryBudget},
     names::ServiceName,
-    retries::{RetryBounds, RetryBudget},
     testing::at_ms,
 };
 
--- a/crates/camphorwall-direct/src/emulator_tests.rs
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -10,12 +10,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    choice::{Candidate, FillLimit, choose_decode, choose_prefill},
-    lengths::LengthModel,
-    loads::{ForecastRun, Run},
+    balance::{
+        choice::{Candidate, FillLimit, choose_decode, choose_prefill},
+        lengths::LengthModel,
+        loads::{ForecastRun, Run},
+        placement::{kv_fill_limit, scheduling_round},
+    },
     names::ServiceName,
-    placement::{kv_fill_limit, scheduling_round},
-    stream::retry_after_wait,
+    serve::stream::retry_after_wait,
 };
 
 const TICK_MS: u64 = 2;
--- /dev/null
+++ b/crates/camphorwall-direct/src/endpoints/mod.rs
@@ -0,0 +1,23 @@
+//! What an entry knows of the endpoints: registrations, failures, crashes and what they say of themselves.
+
+pub(crate) mod notices;
+pub(crate) mod poison;
+pub(crate) mod registry;
+pub(crate) mod stall;
+pub(crate) mod store_contact;
+pub(crate) mod suspicion;
+
+#[cfg(test)]
+mod notices_tests;
+#[cfg(test)]
+mod poison_streams_tests;
+#[cfg(test)]
+mod poison_tests;
+#[cfg(test)]
+mod registry_tests;
+#[cfg(test)]
+mod stall_tests;
+#[cfg(test)]
+mod store_contact_tests;
+#[cfg(test)]
+mod suspicion_tests;
--- a/crates/camphorwall-direct/src/notices_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/notices_tests.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     configuration::{Endpoint, EndpointIncarnation, Stage},
-    notices::{Availability, Notices, first_return},
+    endpoints::notices::{Availability, Notices, first_return},
     testing::{at_ms, endpoint},
 };
 
--- a/crates/camphorwall-direct/src/poison_streams_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison_streams_tests.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     configuration::EndpointIncarnation,
-    poison::{BEGUN_EVENTS, Content, Fingerprint, Poison},
+    endpoints::poison::{BEGUN_EVENTS, Content, Fingerprint, Poison},
     testing::at_ms,
 };
 
--- a/crates/camphorwall-direct/src/poison_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison_tests.rs
@@ -8,7 +8,7 @@
     clock::Moment,
     configuration::EndpointIncarnation,
     dialect::PromptPart,
-    poison::{BlockCause, Content, Fingerprint, Poison, ReportedSuspect},
+    endpoints::poison::{BlockCause, Content, Fingerprint, Poison, ReportedSuspect},
     testing::at_ms,
 };
 
--- a/crates/camphorwall-direct/src/registry.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry.rs
@@ -5,8 +5,8 @@
 use crate::{
     clock::Moment,
     configuration::{Configuration, Endpoint, EndpointIncarnation, KeysDigest, Stage},
+    endpoints::store_contact::StoreContact,
     names::{EndpointName, ServiceName},
-    store_contact::StoreContact,
 };
 
 /// Part of the withdrawal bound in which no new request is admitted. It covers differences of clock rates and the time
--- a/crates/camphorwall-direct/src/registry_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry_tests.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     configuration::{Configuration, Endpoint, Stage},
+    endpoints::registry::{EndpointChange, Registry},
     names::ServiceName,
-    registry::{EndpointChange, Registry},
     testing::{at_ms, endpoint, endpoint_id},
 };
 
--- a/crates/camphorwall-direct/src/stall_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/stall_tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use crate::{
-    stall::{Pauses, has_stood_still},
+    endpoints::stall::{Pauses, has_stood_still},
     testing::at_ms,
 };
 
--- a/crates/camphorwall-direct/src/store_contact_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/store_contact_tests.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use crate::{store_contact::StoreContact, testing::at_ms};
+use crate::{endpoints::store_contact::StoreContact, testing::at_ms};
 
 /// Long-poll timeout of a watch, and the pauses after a failure and after changes.
 const WAIT_MS: u64 = 1_500;
--- a/crates/camphorwall-direct/src/suspicion.rs
+++ b/crates/camphorwall-direct/src/endpoints/suspicion.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Moment, loads::endpoint_key, names::EndpointName};
+use crate::{balance::loads::endpoint_key, clock::Moment, names::EndpointName};
 
 /// Time for which an unreachable endpoint is skipped; it doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
--- a/crates/camphorwall-direct/src/suspicion_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/suspicion_tests.rs
@@ -2,10 +2,12 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    choice::{Candidate, choose_decode},
-    loads::Run,
-    placement::kv_fill_limit,
-    suspicion::Suspicions,
+    balance::{
+        choice::{Candidate, choose_decode},
+        loads::Run,
+        placement::kv_fill_limit,
+    },
+    endpoints::suspicion::Suspicions,
     testing::{at_ms, endpoint_id},
 };
 
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -13,28 +13,31 @@
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
 use crate::{
+    balance::{
+        lengths::LengthModel, loads::Loads, placement::PlacementQueue, return_queue::ReturnQueue,
+    },
     clock::Moment,
     configuration::{Endpoint, RouteKind},
+    contract::{
+        quota::{Quotas, usable_share},
+        retries::{RetryBounds, RetryBudget},
+    },
     dialect::{Dialect, PromptPart},
-    lengths::LengthModel,
-    loads::Loads,
+    endpoints::{
+        notices::Notices,
+        poison::{BlockCause, Content, Poison},
+        registry::Registry,
+        suspicion::Suspicions,
+    },
+    fleet::peers::Peers,
     memory_pool::MemoryPool,
     metrics::{GaugeValues, Metrics},
     names::ServiceName,
-    notices::Notices,
     notify::Notify,
-    peers::Peers,
-    placement::PlacementQueue,
-    poison::{BlockCause, Content, Poison},
-    quota::{Quotas, usable_share},
-    registry::Registry,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::Sampler,
-    retries::{RetryBounds, RetryBudget},
-    return_queue::ReturnQueue,
     settings::DirectSettings,
     store::{ConfigurationTracker, ParsedRoutes, RecentConfigurations, StoreMirror, centre_key},
-    suspicion::Suspicions,
     upstream::{Connection, SendError},
 };
 
--- /dev/null
+++ b/crates/camphorwall-direct/src/fleet/mod.rs
@@ -0,0 +1,7 @@
+//! The other entries, and control of the process.
+
+pub(crate) mod peers;
+pub(crate) mod signals;
+
+#[cfg(test)]
+mod peers_tests;
--- a/crates/camphorwall-direct/src/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -7,15 +7,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    balance::{
+        loads::ReportedWork,
+        placement::{QueueRank, ReportedWaiter},
+    },
     clock::Moment,
+    contract::quota::ReportedAccount,
+    endpoints::{notices::ReportedLeaving, poison::ReportedSuspect, suspicion::ReportedResults},
     entry::Entry,
-    loads::ReportedWork,
-    notices::ReportedLeaving,
-    placement::{QueueRank, ReportedWaiter},
-    poison::ReportedSuspect,
-    quota::ReportedAccount,
     store::{CentreKey, Neighbour},
-    suspicion::ReportedResults,
 };
 
 /// Minimum time between two full heartbeats to a peer. Peers learn of the progress of runs with about this delay.
--- a/crates/camphorwall-direct/src/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -3,13 +3,15 @@
 use compio::net::UdpSocket;
 
 use crate::{
+    balance::{
+        loads::{Loads, Run, Work},
+        placement::{QueueRank, ReportedWaiter, scheduling_round},
+    },
     clock::Moment,
-    loads::{Loads, Run, Work},
-    peers::{
+    contract::quota::Quotas,
+    fleet::peers::{
         Heartbeat, Peers, apply_heartbeat, changes_interval, heartbeat_period, receive_heartbeats,
     },
-    placement::{QueueRank, ReportedWaiter, scheduling_round},
-    quota::Quotas,
     testing::{at_ms, entry_with_empty_dialect, team, wait_limits_until},
 };
 
--- a/crates/camphorwall-direct/src/signals.rs
+++ b/crates/camphorwall-direct/src/fleet/signals.rs
@@ -8,7 +8,7 @@
     iterator::Signals,
 };
 
-use crate::run::ControlCommand;
+use crate::serve::run::ControlCommand;
 
 /// Starts a thread that turns signals into commands.
 ///
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -10,20 +10,20 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    charge::Charge,
+    balance::placement::QueueRank,
     clock::Moment,
     configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
+    contract::charge::Charge,
     dialect::{ForwardingFacts, KvHandle, RequestFacts},
+    endpoints::{
+        poison::{Block, Content, Fingerprint},
+        stall::Pauses,
+    },
     entry::{ActiveGuard, Entry},
     memory_pool::MemoryShare,
     names::ServiceName,
-    placement::QueueRank,
-    plain,
-    poison::{Block, Content, Fingerprint},
-    refusal::Refusal,
     request_log::RequestLog,
-    stall::Pauses,
-    stream,
+    serve::{plain, refusal::Refusal, stream},
 };
 
 /// Retry-After of a refusal whose cause is expected to pass soon.
--- a/crates/camphorwall-direct/src/events_tests.rs
+++ b/crates/camphorwall-direct/src/serve/events_tests.rs
@@ -1,6 +1,6 @@
 use rstest::rstest;
 
-use crate::events::EventSplitter;
+use crate::serve::events::EventSplitter;
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
--- /dev/null
+++ b/crates/camphorwall-direct/src/serve/mod.rs
@@ -0,0 +1,12 @@
+//! Serves one caller's request from an endpoint, from its placement to the last byte.
+
+pub(crate) mod events;
+pub(crate) mod outcome;
+pub(crate) mod plain;
+pub(crate) mod prefill;
+pub(crate) mod refusal;
+pub(crate) mod run;
+pub(crate) mod stream;
+
+#[cfg(test)]
+mod events_tests;
--- a/crates/camphorwall-direct/src/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -7,15 +7,15 @@
 use http::{Request, StatusCode, header};
 
 use crate::{
+    balance::return_queue::reject_hopeless,
     clock::Moment,
     configuration::Endpoint,
     dialect::AnswerFacts,
     entry::Entry,
     metrics::Notice,
     names::EndpointName,
-    refusal::Refusal,
     request::Admitted,
-    return_queue::reject_hopeless,
+    serve::refusal::Refusal,
     upstream::{Answer, Connection, SendError},
 };
 
--- a/crates/camphorwall-direct/src/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -10,18 +10,22 @@
 use hyper::Response;
 
 use crate::{
-    choice::choose_plain,
+    balance::{
+        choice::choose_plain,
+        loads::{Run, Work},
+        placement::{Placement, candidates},
+        return_queue::{choose_in_turn, retry_after_refusals},
+    },
     clock::Moment,
     configuration::{Endpoint, Stage},
     connection_headers::remove_connection_headers,
     entry::Entry,
-    loads::{Run, Work},
     memory_pool::MemoryShare,
-    outcome::{AttemptOutcome, Progress, attempt},
-    placement::{Placement, candidates},
-    refusal::Refusal,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
-    return_queue::{choose_in_turn, retry_after_refusals},
+    serve::{
+        outcome::{AttemptOutcome, Progress, attempt},
+        refusal::Refusal,
+    },
     upstream::{Answer, AnswerBody},
 };
 
--- a/crates/camphorwall-direct/src/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -7,19 +7,23 @@
 use http::StatusCode;
 
 use crate::{
-    choice::choose_prefill,
+    balance::{
+        choice::choose_prefill,
+        loads::{Run, Work},
+        placement::{Placement, candidates},
+        return_queue::choose_in_turn,
+    },
     clock::Moment,
     configuration::{Endpoint, Stage},
     dialect::KvHandle,
     entry::Entry,
-    loads::{Run, Work},
-    outcome::{Progress, is_for_request, note_answer_head, note_replaced},
-    placement::{Placement, candidates},
-    refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
-    return_queue::choose_in_turn,
-    stream::CAPACITY_RETRY_AFTER,
+    serve::{
+        outcome::{Progress, is_for_request, note_answer_head, note_replaced},
+        refusal::Refusal,
+        stream::CAPACITY_RETRY_AFTER,
+    },
     upstream::{self, Connection},
 };
 
--- a/crates/camphorwall-direct/src/run.rs
+++ b/crates/camphorwall-direct/src/serve/run.rs
@@ -10,9 +10,11 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
+    balance::placement,
     dialect::Dialect,
     entry::{EXIT_MARGIN, Entry},
-    peers, placement, request,
+    fleet::peers,
+    request,
     settings::DirectSettings,
     store,
 };
--- a/crates/camphorwall-direct/src/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -9,22 +9,28 @@
 use hyper::Response;
 
 use crate::{
-    choice::choose_plain,
+    balance::{
+        choice::choose_plain,
+        loads::{ForecastRun, Run, Work},
+        placement::{Placement, PlacementRequest, QueueRank, candidates},
+        return_queue::{holds_off, note_passed_over, retry_after_refusals, returns_at},
+    },
     clock::Moment,
     configuration::{Endpoint, Stage},
     connection_headers::remove_connection_headers,
+    endpoints::{
+        poison::BEGUN_EVENTS,
+        stall::{Pauses, has_stood_still},
+    },
     entry::Entry,
-    events::EventSplitter,
-    loads::{ForecastRun, Run, Work},
-    outcome::{AttemptOutcome, Progress, attempt_on},
-    placement::{Placement, PlacementRequest, QueueRank, candidates},
-    poison::BEGUN_EVENTS,
-    prefill::{Prefilled, free_kv_cache, prefill},
-    refusal::Refusal,
     request::Admitted,
     request_log::RequestLog,
-    return_queue::{holds_off, note_passed_over, retry_after_refusals, returns_at},
-    stall::{Pauses, has_stood_still},
+    serve::{
+        events::EventSplitter,
+        outcome::{AttemptOutcome, Progress, attempt_on},
+        prefill::{Prefilled, free_kv_cache, prefill},
+        refusal::Refusal,
+    },
     upstream::{Answer, AnswerBody, Connection},
 };
 
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -15,9 +15,9 @@
 use crate::{
     clock::Moment,
     dialect::{Changes, Page, StoreItem},
+    endpoints::registry::{EndpointChange, STALE_PROOF_AGE},
     entry::Entry,
     names::EndpointName,
-    registry::{EndpointChange, STALE_PROOF_AGE},
 };
 
 /// Maximum long-poll timeout of a call to the store, and age at which the proof that the configuration in force is the
--- a/crates/camphorwall-direct/src/store/follow_tests.rs
+++ b/crates/camphorwall-direct/src/store/follow_tests.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use crate::{
-    registry::STALE_PROOF_AGE,
+    endpoints::registry::STALE_PROOF_AGE,
     store::follow::{CHANGES_PAUSE, WATCH_WAIT, proof_wait, proved_by},
     testing::at_ms,
 };
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -7,10 +7,10 @@
 use crate::{
     clock::Moment,
     configuration::{Endpoint, Route, RouteKind, Stage, Team},
+    contract::quota::WaitLimits,
     dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect, UnreadableRoute},
     entry::Entry,
     names::EndpointName,
-    quota::WaitLimits,
     settings::{Bounds, DirectSettings},
 };
 
