Report answers that a reset ends during the upload as broken

Callers got the part of an answer without a length that had arrived before a reset as the whole answer. A write under way takes the error of the reset from the socket, and the next read returns an orderly end. Two of the three cases of upstream_tests.rs fail without it.

--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -40,6 +40,8 @@
 mod request_log_tests;
 #[cfg(test)]
 mod testing;
+#[cfg(test)]
+mod upstream_tests;
 
 pub use configuration::{
     CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -8,8 +8,13 @@
 use bytes::{Bytes, BytesMut};
 use camphorwall::{MeteredStream, ReadMeter};
 use compio::{net::TcpStream, runtime::JoinHandle};
+use http::header;
 use http_body_util::{BodyExt as _, Full};
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    Request, Response,
+    body::{Body as _, Incoming},
+    client::conn::http1,
+};
 use snafu::Snafu;
 
 /// Timeout of setting up a connection; with a reachable endpoint this takes one or two round trips.
@@ -45,12 +50,17 @@
 pub(crate) struct AnswerBody {
     incoming: Incoming,
     meter: ReadMeter,
+    /// Whether the end of the connection is the only end of the body.
+    ends_with_connection: bool,
     /// Dropping the handle ends the task, which closes the connection.
     _connection: JoinHandle<()>,
 }
 
 impl AnswerBody {
     /// The next bytes; `None` once the answer is complete.
+    ///
+    /// If the connection is reset while the request is being written, the write takes the error from the socket, and the next
+    /// read returns an orderly end. A body that ends with its connection is therefore complete only if the request was sent.
     pub(crate) async fn next(&mut self) -> io::Result<Option<Bytes>> {
         while let Some(frame) = self.incoming.frame().await {
             if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
@@ -58,6 +68,12 @@
                 return Ok(Some(data));
             }
         }
+        if self.ends_with_connection && !self.meter.has_sent_all() {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionReset,
+                "the connection ended before the request was sent; the answer may be incomplete",
+            ));
+        }
         Ok(None)
     }
 
@@ -160,6 +176,9 @@
         let (parts, incoming) = response.into_parts();
         self.meter.begin_body();
         let body = AnswerBody {
+            // The exact size is known of a body with a length, and of one that has no bytes by its status.
+            ends_with_connection: ends_with_connection(&parts)
+                && incoming.size_hint().exact().is_none(),
             incoming,
             meter: self.meter,
             _connection: self.task,
@@ -168,6 +187,12 @@
     }
 }
 
+/// Whether a head announces neither the length of its body nor chunks.
+fn ends_with_connection(parts: &http::response::Parts) -> bool {
+    !parts.headers.contains_key(header::CONTENT_LENGTH)
+        && !parts.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Connects, sends a request and waits for the head of its answer.
 pub(crate) async fn send(
     address: SocketAddr,
--- a/crates/camphorwall/src/read_meter.rs
+++ b/crates/camphorwall/src/read_meter.rs
@@ -40,6 +40,8 @@
     awaits_head: Cell<bool>,
     /// Bytes received since the reading task last yielded.
     turn_bytes: Cell<usize>,
+    /// Whether bytes that were to be written have not reached the socket, or could not be written.
+    has_unsent_bytes: Cell<bool>,
 }
 
 impl ReadMeter {
@@ -63,6 +65,12 @@
         self.0.body_bytes.set(self.0.body_bytes.get() + bytes);
     }
 
+    /// Whether all that was written so far has reached the socket without an error.
+    #[must_use]
+    pub fn has_sent_all(&self) -> bool {
+        !self.0.has_unsent_bytes.get()
+    }
+
     fn note_received(&self, bytes: usize) {
         let counters = &self.0;
         counters
@@ -152,6 +160,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.meter.0.has_unsent_bytes.set(true);
         Write::poll_write(Pin::new(&mut self.stream), context, bytes)
     }
 
@@ -160,6 +169,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.meter.0.has_unsent_bytes.set(true);
         Write::poll_write_vectored(Pin::new(&mut self.stream), context, buffers)
     }
 
@@ -168,7 +178,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Write::poll_flush(Pin::new(&mut self.stream), context)
+        let polled = Write::poll_flush(Pin::new(&mut self.stream), context);
+        if let Poll::Ready(Ok(())) = &polled {
+            self.meter.0.has_unsent_bytes.set(false);
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
