Reject answers with statuses above 599

The HTTP library rejects statuses below 100 but accepts any other of three digits, so a caller got an endpoint's 600 or 999 as an answer. It gets 502 now, as for other bytes that are no answer.

--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -23,6 +23,9 @@
 /// Maximum size of an answer's head, and of what is read ahead of a body.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Highest status that HTTP defines. The HTTP library rejects statuses below 100 and accepts any other of three digits.
+const MAX_STATUS: u16 = 599;
+
 /// A request that got no answer.
 #[derive(Debug, Snafu)]
 pub(crate) enum SendError {
@@ -174,6 +177,11 @@
             }
         })?;
         let (parts, incoming) = response.into_parts();
+        if parts.status.as_u16() > MAX_STATUS {
+            let (address, status) = (self.address, parts.status.as_u16());
+            let message = format!("the answer has the status {status}, which HTTP does not define");
+            return Err(SendError::Broken { address, message });
+        }
         self.meter.begin_body();
         let body = AnswerBody {
             // The exact size is known of a body with a length, and of one that has no bytes by its status.
