Keep the fleet's retries within their budget across restarts and partitions

Callers saw nothing.

Cause: an entry that starts took its whole part of the allowance, although its predecessor had used that part in the same window. An entry that was cut off forgot its peers after 15 s and took over their parts, which they still used.

Change: until the window has passed, an entry that starts uses what an established one leaves: 0.2 of the share of its own requests, 0.05 of its part of the allowance at once and 0.15 more over the window. The whole share of its own requests would not be safe, since the retries of its predecessor are covered by requests of the window before its end. An established entry uses 0.7 of its part of the allowance instead of 0.8. Shares (fleet/shares.rs) says among how many entries the allowance is divided: a part grows a window after its former user was last heard or ended, and only at entries that hear more than half of the fleet; one that hears less than half uses no allowance. Heartbeats carry the size of the fleet.

Evidence: retries_histories_tests.rs plays kills of all entries, random kills, quick restarts and partitions without a network. With the former rules 24 of 30 histories of 3 entries and 20 of 30 of 36 entries that are killed together exceed the bound (worst: 210 retries of 116, 692 of 428), and 9 of 30 of 4 entries with partitions (146 of 128). With the change none of 210 histories in seven cases exceeds it; the highest is 438 of 480. The former rules stay as broken variants.

The stand-in entries of the whole-path tests get a retry allowance of 1,000: they test where retries go, and an entry that has just started would send one with the default of 20.

--- a/crates/camphorwall-direct/src/contract/mod.rs
+++ b/crates/camphorwall-direct/src/contract/mod.rs
@@ -7,4 +7,6 @@
 #[cfg(test)]
 mod quota_tests;
 #[cfg(test)]
+mod retries_histories_tests;
+#[cfg(test)]
 mod retries_tests;
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -201,7 +201,7 @@
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
             quotas: RefCell::default(),
-            retries: RefCell::new(RetryBudget::new(bounds)),
+            retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
             lengths: RefCell::default(),
             loads: RefCell::default(),
             suspicions: RefCell::default(),
@@ -313,9 +313,10 @@
 
     /// Takes one retry from this entry's part of the fleet's retry budget; returns whether there was one.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
-        let entries = self.peers.borrow().count();
+        let now = Moment::now();
+        let divisor = self.peers.borrow().shares.divisor(now);
         let mut retries = self.retries.borrow_mut();
-        let is_taken = retries.take(service, entries, Moment::now());
+        let is_taken = retries.take(service, divisor, now);
         self.metrics.count_retry(is_taken);
         is_taken
     }
@@ -515,6 +516,7 @@
             waiting: self.placement_queue.waiting(),
             peers_known: peers.count() - 1,
             peers_silent: peers.silent(self.keys_rejected_after(), now),
+            allowance_entries: peers.shares.divisor(now).unwrap_or(0),
             reads_store: self.reads_store.get(),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
         })
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -15,6 +15,7 @@
     contract::quota::ReportedAccount,
     endpoints::{notices::ReportedLeaving, poison::ReportedSuspect, suspicion::ReportedResults},
     entry::Entry,
+    fleet::shares::Shares,
     store::{CentreKey, Neighbour},
 };
 
@@ -68,6 +69,8 @@
     pub(crate) link_mbps: u32,
     /// Whether the entry serves callers with keys.
     pub(crate) is_serving: bool,
+    /// Size of the fleet that the entry knows of, itself included.
+    pub(crate) fleet_size: u16,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) accounts: Vec<ReportedAccount>,
     pub(crate) work: ReportedWork,
@@ -123,6 +126,10 @@
     known: HashMap<SocketAddr, Peer>,
     /// Incarnations that sent a goodbye, and when. Kept because other peers may still report their addresses.
     departed: HashMap<SocketAddr, (u64, Moment)>,
+    /// Entries among which the fleet's allowances are divided.
+    pub(crate) shares: Shares,
+    /// Whether this entry had a part of the allowances when that was last checked.
+    had_part: bool,
 }
 
 impl Peers {
@@ -140,6 +147,8 @@
             sequence: 0,
             known: HashMap::new(),
             departed: HashMap::new(),
+            shares: Shares::default(),
+            had_part: true,
         };
         peers.add_seeds(seeds);
         peers
@@ -152,6 +161,7 @@
             let address = SocketAddr::new(seed.ip(), self.local_address.port());
             if address != self.local_address {
                 self.known.entry(address).or_insert(Peer::not_yet_seen(now));
+                self.shares.learn(address, now);
             }
         }
     }
@@ -255,6 +265,20 @@
             .collect()
     }
 
+    /// Logs that this entry has lost or regained its part of the fleet's allowances.
+    fn log_part(&mut self, now: Moment) {
+        let divisor = self.shares.divisor(now);
+        if divisor.is_some() == self.had_part {
+            return;
+        }
+        self.had_part = divisor.is_some();
+        if let Some(entries) = divisor {
+            tracing::info!(event = "allowance_regained", entries);
+        } else {
+            tracing::info!(event = "allowance_withheld", fleet = self.shares.own_size());
+        }
+    }
+
     /// Forgets a peer that sent a goodbye.
     fn remove_departed(
         &mut self,
@@ -268,6 +292,7 @@
         if self.known.get(&address).is_some_and(is_same) {
             tracing::info!(event = "peer_ended", %address);
             self.known.remove(&address);
+            self.shares.note_ended(address, now);
             entry.quotas.borrow_mut().forget_peer(incarnation);
             entry.loads.borrow_mut().forget_peer(incarnation);
         }
@@ -359,6 +384,7 @@
             sound_revision: entry.registry.borrow().contact.sound_revision(),
             link_mbps: entry.settings().link_mbps_or_zero(),
             is_serving: entry.is_serving(now),
+            fleet_size: peers.shares.own_size(),
             peers: reported_peers,
             accounts,
             work,
@@ -424,8 +450,10 @@
         let is_new = !peers.known.contains_key(&address) && !peers.departed.contains_key(&address);
         if address != local_address && address.port() == local_address.port() && is_new {
             peers.known.insert(address, Peer::not_yet_seen(now));
+            peers.shares.learn(address, now);
         }
     }
+    peers.shares.note_heard(from, heartbeat.fleet_size, now);
     let peer = peers.known.entry(from).or_insert(Peer::not_yet_seen(now));
     if now.since(peer.last_seen_at) > SILENT_AFTER {
         // While the peer was silent, its share was withheld; what it charged in that time must not count again.
@@ -488,6 +516,9 @@
 fn forget_departed(entry: &Entry) {
     let now = Moment::now();
     let mut peers = entry.peers.borrow_mut();
+    let retry_window = entry.settings().bounds.retry_window();
+    peers.shares.remove_expired(retry_window, now);
+    peers.log_part(now);
     peers
         .departed
         .retain(|_, (_, at)| now.since(*at) <= FORGET_AFTER);
