Keep team quotas within their tolerance across restarts and partitions

Callers saw nothing. The fleet could send more for a team than (rate x 8 s + burst) x 1.25 + 120,000 tokens.

Cause: entries that started took the team's whole burst anew, each whole fleet once more. A silent peer's share was withheld for 6 s by entries that hear most of the fleet, and for 15 s by others; after that both sides of a partition spent the whole contract. The level of a bucket was not divided at all.

Change: Shares (fleet/shares.rs) also gives the share of the rate. Entries that hear less than half of the fleet keep a third of their share from the fifth second on, before the others take it over, and never take over the others' shares; entries that hear no more than half have their share of the burst only. Buckets of more than 20,000 tokens that no peer has reported begin half full in the first 8 s of an entry. A level that a peer reported for a team without callers here is refilled until they come; it kept them from their tokens.

Not changed: the team is held to its contract, not to the bound with its tolerance; an entry doesn't know whether sends to a further endpoint count against the bound. Trial requests after a hold-off are not divided over the fleet, so an entry that starts takes no share of others.

--- a/crates/camphorwall-direct/src/contract/mod.rs
+++ b/crates/camphorwall-direct/src/contract/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod quota;
 pub(crate) mod retries;
 
+#[cfg(test)]
+mod quota_histories_tests;
 #[cfg(test)]
 mod quota_tests;
 #[cfg(test)]
--- a/crates/camphorwall-direct/src/contract/quota.rs
+++ b/crates/camphorwall-direct/src/contract/quota.rs
@@ -2,8 +2,11 @@
 //! deducts its own charges and those that its peers report.
 //!
 //! A silent peer may still be charging. While it is silent, this entry does not spend that peer's even share of the
-//! rate. The peer does the same with the shares of its silent peers, so that both sides of a partition together stay
-//! within one contract.
+//! rate, and of the burst if it hears no more than half of the fleet. The peer does the same with the shares of its
+//! silent peers, so that both sides of a partition together stay within the tolerance of one contract.
+//!
+//! An entry that starts doesn't know what its predecessor has charged, so its buckets are half full unless they are small
+//! or a peer has reported a level.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -25,6 +28,16 @@
 /// longest period, of which at least one is likely to arrive.
 const REPORT_CHANGED_FOR: Duration = Duration::from_secs(1);
 
+/// Time after an entry's start in which it may not know what was charged in the contracts' window of eight seconds.
+const START_PERIOD: Duration = Duration::from_secs(8);
+
+/// Part of a burst in a bucket whose level is not known after a start. If all entries start four times in a window, they
+/// charge two further bursts, which the tolerance of contracts covers.
+const START_LEVEL: f64 = 0.5;
+
+/// Burst up to which a bucket is full after a start. The fixed part of the tolerance of contracts is 120,000 tokens.
+const FULL_START_TOKENS: f64 = 20_000.0;
+
 /// Number of full heartbeats over which each unchanged account is reported once.
 const HEARTBEATS_PER_CYCLE: u64 = 8;
 
@@ -127,6 +140,8 @@
     level: f64,
     rate_per_s: f64,
     burst: f64,
+    /// Part of the burst that this entry may spend.
+    usable_burst: f64,
     updated_at: Moment,
     /// Tokens that this entry has charged, less its refunds.
     charged: f64,
@@ -145,13 +160,14 @@
     fn refill(&mut self, share: f64, now: Moment) {
         let elapsed_s = now.since(self.updated_at).as_secs_f64();
         let refilled = self.level + self.rate_per_s * share * elapsed_s;
-        self.level = refilled.min(self.burst);
+        self.usable_burst = usable_burst(self.burst, share);
+        self.level = refilled.min(self.usable_burst);
         self.updated_at = now;
     }
 
-    /// Charges a cost if the level covers it. A request larger than the burst needs a full bucket.
+    /// Charges a cost if the level covers it. A request larger than the usable burst needs a full bucket.
     fn take(&mut self, cost: f64, now: Moment) -> bool {
-        let fits = self.level >= cost.min(self.burst);
+        let fits = self.level >= cost.min(self.usable_burst);
         if fits {
             self.level -= cost;
             self.charged += cost;
@@ -206,7 +222,7 @@
 
     /// Time until the level covers a cost and the cost of the requests ahead of it.
     fn wait(&self, cost: f64, cost_ahead: f64, share: f64) -> Duration {
-        let missing = cost_ahead + cost.min(self.burst) - self.level;
+        let missing = cost_ahead + cost.min(self.usable_burst) - self.level;
         let rate_per_s = (self.rate_per_s * share).max(1.0);
         Duration::from_secs_f64((missing / rate_per_s).clamp(0.0, MAX_WAIT_S))
     }
@@ -215,16 +231,34 @@
 /// Accounts of all teams with requests at this entry, and the charges that peers reported.
 #[derive(Debug, Default)]
 pub(crate) struct Quotas {
+    /// When the entry started; without it, nothing was charged before.
+    started_at: Option<Moment>,
     accounts: HashMap<TeamKey, Account>,
     /// Total charges that peers reported, by incarnation and team.
     peer_charges: HashMap<u64, HashMap<TeamKey, f64>>,
-    /// Levels that peers reported for teams without an account here.
-    peer_levels: HashMap<TeamKey, f64>,
+    /// Levels that peers reported for teams without an account here, and when.
+    peer_levels: HashMap<TeamKey, (f64, Moment)>,
     next_ticket: u64,
     /// Position in the cycle of full heartbeats over which unchanged accounts are spread.
     cycle_position: u64,
 }
 
+/// Part of a burst that this entry may spend. Entries that hear most of the fleet are on one side of a partition at most,
+/// and keep the whole burst.
+fn usable_burst(burst: f64, share: f64) -> f64 {
+    if share > 0.5 { burst } else { burst * share }
+}
+
+/// Level of a bucket that no peer has reported.
+fn unreported_level(burst: f64, started_at: Option<Moment>, now: Moment) -> f64 {
+    let is_start = started_at.is_some_and(|started_at| now.since(started_at) < START_PERIOD);
+    if is_start {
+        (burst * START_LEVEL).max(FULL_START_TOKENS.min(burst))
+    } else {
+        burst
+    }
+}
+
 /// Share of the rate that this entry may spend while peers are silent.
 #[must_use]
 pub(crate) fn usable_share(entries: usize, silent: usize) -> f64 {
@@ -232,13 +266,26 @@
 }
 
 impl Quotas {
+    /// Creates the accounts of an entry that starts.
+    pub(crate) fn new(started_at: Moment) -> Self {
+        Self {
+            started_at: Some(started_at),
+            ..Self::default()
+        }
+    }
+
     fn account(&mut self, team: &Team, rate_per_s: f64, share: f64, now: Moment) -> &mut Account {
         let key = TeamKey::of(&team.name);
-        let peer_level = self.peer_levels.remove(&key);
+        let peer_level = self.peer_levels.remove(&key).map(|(level, at)| {
+            // The bucket has been refilled since the report.
+            level + rate_per_s * share * now.since(at).as_secs_f64()
+        });
+        let unreported = unreported_level(team.burst, self.started_at, now);
         let new_account = || Account {
-            level: peer_level.map_or(team.burst, |level| level.min(team.burst)),
+            level: peer_level.unwrap_or(unreported).min(team.burst),
             rate_per_s,
             burst: team.burst,
+            usable_burst: usable_burst(team.burst, share),
             updated_at: now,
             charged: 0.0,
             reported_charged: 0.0,
@@ -405,7 +452,7 @@
             }
             let previous = charges.insert(peer.team, peer.charged);
             let Some(account) = self.accounts.get_mut(&peer.team) else {
-                self.peer_levels.insert(peer.team, peer.level);
+                self.peer_levels.insert(peer.team, (peer.level, now));
                 continue;
             };
             account
--- a/crates/camphorwall-direct/src/contract/quota_tests.rs
+++ b/crates/camphorwall-direct/src/contract/quota_tests.rs
@@ -408,3 +408,31 @@
         );
     }
 }
+
+/// An entry that started took its predecessor's whole burst anew.
+#[rstest]
+#[case::large(100_000.0, 50_000.0)]
+#[case::small(400.0, 400.0)]
+fn an_entry_that_starts_has_half_of_a_large_burst_that_no_peer_has_reported(
+    #[case] burst: f64,
+    #[case] at_start: f64,
+) {
+    let team = team(1.0, burst);
+    let mut quotas = Quotas::new(at_ms(10_000));
+    let charged = charge_all(&mut quotas, &team, 100.0, at_ms(10_000));
+    assert!((charged - at_start).abs() < 1e-9, "{charged}");
+    let mut quotas = Quotas::new(at_ms(10_000));
+    let charged = charge_all(&mut quotas, &team, 100.0, at_ms(18_000));
+    assert!((charged - burst).abs() < 1e-9, "{charged}");
+}
+
+/// A level that was reported long ago kept a team from its tokens at an entry that its callers reached later.
+#[test]
+fn a_reported_level_is_refilled_until_the_team_calls_this_entry() {
+    let team = team(1_000.0, 5_000.0);
+    let (mut busy, mut idle) = (Quotas::default(), Quotas::default());
+    charge_all(&mut busy, &team, 100.0, at_ms(0));
+    idle.note_peer(1, busy.report(1.0, at_ms(0)), 1.0, at_ms(0));
+    let charged = charge_all(&mut idle, &team, 100.0, at_ms(3_000));
+    assert!((charged - 3_000.0).abs() < 1e-9, "{charged}");
+}
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -19,7 +19,7 @@
     clock::Moment,
     configuration::{Endpoint, RouteKind},
     contract::{
-        quota::{Quotas, usable_share},
+        quota::Quotas,
         retries::{RetryBounds, RetryBudget},
     },
     dialect::{Dialect, PromptPart},
@@ -200,7 +200,7 @@
             recent: RefCell::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
-            quotas: RefCell::default(),
+            quotas: RefCell::new(Quotas::new(Moment::now())),
             retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
             lengths: RefCell::default(),
             loads: RefCell::default(),
@@ -329,7 +329,7 @@
     /// Share of each team's rate that this entry may spend.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
-        usable_share(peers.count(), peers.silent(self.keys_rejected_after(), now))
+        peers.shares.rate_share(self.keys_rejected_after(), now)
     }
 
     /// Records a send that got no answer; returns whether the request may have reached the endpoint.
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -15,7 +15,7 @@
     contract::quota::ReportedAccount,
     endpoints::{notices::ReportedLeaving, poison::ReportedSuspect, suspicion::ReportedResults},
     entry::Entry,
-    fleet::shares::Shares,
+    fleet::shares::{SILENT_AFTER, Shares},
     store::{CentreKey, Neighbour},
 };
 
@@ -31,9 +31,6 @@
 /// Maximum time between two full heartbeats to a peer, below the time after which the sender counts as silent.
 const MAX_HEARTBEAT_PERIOD: Duration = Duration::from_millis(240);
 
-/// Time without a heartbeat after which a peer counts as silent; it allows for some lost heartbeats.
-const SILENT_AFTER: Duration = Duration::from_millis(500);
-
 /// Time without a heartbeat after which a peer's work counts as ended: the connections of an entry that died are
 /// closed.
 const WORK_EXPIRES_AFTER: Duration = Duration::from_millis(1_500);
--- a/crates/camphorwall-direct/src/fleet/shares.rs
+++ b/crates/camphorwall-direct/src/fleet/shares.rs
@@ -7,11 +7,18 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use crate::clock::Moment;
+use crate::{clock::Moment, contract::quota::usable_share};
 
 /// Time without a heartbeat after which a peer counts as not heard.
 const UNHEARD_AFTER: Duration = Duration::from_secs(15);
 
+/// Time without a heartbeat after which a peer counts as silent; it allows for some lost heartbeats.
+pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(500);
+
+/// Part of its share of a team's rate that an entry keeps that hears less than half of the fleet. The contracts'
+/// tolerance is a quarter, and such entries are less than half of the fleet.
+const CUT_OFF_SHARE: f64 = 1.0 / 3.0;
+
 /// Time added to the window for heartbeats and periodic tasks that come late.
 const WINDOW_MARGIN: Duration = Duration::from_secs(1);
 
@@ -94,6 +101,39 @@
         may_use.then(|| active.max(self.members.len() + 1))
     }
 
+    /// Share of each team's rate and burst that this entry may spend.
+    ///
+    /// Peers that are silent may be cut off and still charge teams. An entry that hears most of the fleet uses their
+    /// shares after `takeover`. An entry that hears less than half reduces its share before that, so that both sides
+    /// together stay within the tolerance of a contract.
+    pub(crate) fn rate_share(&self, takeover: Duration, now: Moment) -> f64 {
+        let fleet = self.active();
+        let heard_within = |time: Duration| {
+            let is_heard = |member: &&Member| {
+                let is_recent = now.since(member.seen_at) <= time;
+                member.is_heard && member.ended_at.is_none() && is_recent
+            };
+            self.members.values().filter(is_heard).count() + 1
+        };
+        let heard = heard_within(SILENT_AFTER);
+        let share = usable_share(fleet, fleet.saturating_sub(heard));
+        if heard * 2 > fleet {
+            let is_withheld = |member: &&Member| {
+                let silence = now.since(member.seen_at);
+                let may_charge = member.ended_at.is_none() && silence <= takeover;
+                may_charge && (silence > SILENT_AFTER || !member.is_heard)
+            };
+            let withheld = self.members.values().filter(is_withheld).count();
+            usable_share(fleet, withheld)
+        } else if heard * 2 == fleet
+            || heard_within(takeover.saturating_sub(WINDOW_MARGIN)) * 2 > fleet
+        {
+            share
+        } else {
+            share * CUT_OFF_SHARE
+        }
+    }
+
     /// Number of entries that have not ended, as far as this entry or one of its peers knows.
     fn active(&self) -> usize {
         let members = self.members.values();
--- a/crates/camphorwall-direct/src/fleet/shares_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/shares_tests.rs
@@ -90,3 +90,35 @@
     assert_eq!(shares.divisor(at_ms(60_000)), None);
     assert_eq!(Shares::default().divisor(at_ms(0)), Some(1));
 }
+
+/// Both sides of a partition that use the whole contract would send up to twice as much.
+#[test]
+fn both_sides_of_a_partition_stay_within_the_tolerance_of_a_contract() {
+    const TAKEOVER: Duration = Duration::from_secs(6);
+    let (mut large, mut small) = (shares_of_five(), shares_of_five());
+    for now_ms in (0..=60_000).step_by(100) {
+        let (large_size, small_size) = (large.own_size(), small.own_size());
+        hear(&mut large, 2..=3, large_size, now_ms);
+        hear(&mut small, 2..=2, small_size, now_ms);
+        let now = at_ms(now_ms);
+        let sum = large.rate_share(TAKEOVER, now) + small.rate_share(TAKEOVER, now);
+        assert!(now_ms <= 500 || sum <= 1.25, "{sum} after {now_ms} ms");
+    }
+    // Two of five use a third of their shares; the other three have taken these over.
+    let now = at_ms(60_000);
+    assert!((small.rate_share(TAKEOVER, now) - 0.4 / 3.0).abs() < 1e-9);
+    assert!((large.rate_share(TAKEOVER, now) - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn the_share_of_a_peer_that_was_killed_is_used_after_the_takeover_time() {
+    let mut shares = shares_of_five();
+    let mut share_at = |now_ms| {
+        hear(&mut shares, 2..=4, 5, now_ms);
+        shares.rate_share(Duration::from_secs(6), at_ms(now_ms))
+    };
+    assert!((share_at(500) - 1.0).abs() < 1e-9);
+    assert!((share_at(600) - 0.8).abs() < 1e-9);
+    assert!((share_at(6_000) - 0.8).abs() < 1e-9);
+    assert!((share_at(6_100) - 1.0).abs() < 1e-9);
+}
