--- a/crates/camphorwall-direct/src/contract/mod.rs
+++ b/crates/camphorwall-direct/src/contract/mod.rs
@@ -4,7 +4,11 @@
 pub(crate) mod quota;
 pub(crate) mod retries;
 
+#[cfg(test)]
+mod quota_histories_tests;
 #[cfg(test)]
 mod quota_tests;
 #[cfg(test)]
+mod retries_histories_tests;
+#[cfg(test)]
 mod retries_tests;
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -19,7 +19,7 @@
     clock::Moment,
     configuration::{Endpoint, RouteKind},
     contract::{
-        quota::{Quotas, usable_share},
+        quota::Quotas,
         retries::{RetryBounds, RetryBudget},
     },
     dialect::{Dialect, PromptPart},
@@ -200,8 +200,8 @@
             recent: RefCell::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
-            quotas: RefCell::default(),
-            retries: RefCell::new(RetryBudget::new(bounds)),
+            quotas: RefCell::new(Quotas::new(Moment::now())),
+            retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
             lengths: RefCell::default(),
             loads: RefCell::default(),
             suspicions: RefCell::default(),
@@ -313,9 +313,10 @@
 
     /// Takes one retry from this entry's part of the fleet's retry budget; returns whether there was one.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
-        let entries = self.peers.borrow().count();
+        let now = Moment::now();
+        let divisor = self.peers.borrow().shares.divisor(now);
         let mut retries = self.retries.borrow_mut();
-        let is_taken = retries.take(service, entries, Moment::now());
+        let is_taken = retries.take(service, divisor, now);
         self.metrics.count_retry(is_taken);
         is_taken
     }
@@ -328,7 +329,7 @@
     /// Share of each team's rate that this entry may spend.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
-        usable_share(peers.count(), peers.silent(self.keys_rejected_after(), now))
+        peers.shares.rate_share(self.keys_rejected_after(), now)
     }
 
     /// Records a send that got no answer; returns whether the request may have reached the endpoint.
@@ -515,6 +516,7 @@
             waiting: self.placement_queue.waiting(),
             peers_known: peers.count() - 1,
             peers_silent: peers.silent(self.keys_rejected_after(), now),
+            allowance_entries: peers.shares.divisor(now).unwrap_or(0),
             reads_store: self.reads_store.get(),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
         })
