Send nothing to evacuated data centres

Entries read only the configuration's key below the operator's prefix and ignored the keys of evacuations.

Entries now keep the set of evacuated data centres, with the revision of each. They learn of a change from whatever comes first: a list at the start, the watch of all keys, a list of the configuration's prefix, or the answer of the reader that they follow. While the watch of all keys doesn't show evacuations (a configuration is being read and only endpoints are watched, an answer was too large, changes were discarded, a configuration came from a reader), a task watches their prefix alone. In the usual state that takes no call more. Changes may come twice and in any order; an older list ends nothing.

Endpoints there are no candidates, and placed requests are checked again right before the send. A KV cache there is neither fetched nor freed. Streams in progress finish. Requests left without any endpoint, waiting ones included, are refused at once with the outcome endpoints_evacuated; Retry-After is the time that the newest evacuation has lasted, within 1 to 30 s, as its end is not published. An entry serves nothing before the first list.

Without the task the test of a large configuration fails.

--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -80,6 +80,8 @@
 pub struct StoreDialect {
     /// Prefix of the configuration's keys.
     pub configuration_prefix: &'static str,
+    /// Prefix of the keys of evacuations; the rest of a key is the name of the data centre.
+    pub evacuations_prefix: &'static str,
     /// Prefix of the keys of endpoints' registrations.
     pub endpoints_prefix: &'static str,
     /// Builds the path and query that list the items with a key prefix, after a key.
--- a/crates/camphorwall-direct/src/endpoints/mod.rs
+++ b/crates/camphorwall-direct/src/endpoints/mod.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of the endpoints: registrations, failures, crashes and what they say of themselves.
 
+pub(crate) mod evacuation;
 pub(crate) mod notices;
 pub(crate) mod poison;
 pub(crate) mod registry;
@@ -7,6 +8,8 @@
 pub(crate) mod store_contact;
 pub(crate) mod suspicion;
 
+#[cfg(test)]
+mod evacuation_tests;
 #[cfg(test)]
 mod notices_tests;
 #[cfg(test)]
--- a/crates/camphorwall-direct/src/endpoints/registry.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry.rs
@@ -5,8 +5,8 @@
 use crate::{
     clock::Moment,
     configuration::{Configuration, Endpoint, EndpointIncarnation, KeysDigest, Stage},
-    endpoints::store_contact::StoreContact,
-    names::{EndpointName, ServiceName},
+    endpoints::{evacuation::Evacuations, store_contact::StoreContact},
+    names::{DataCentreName, EndpointName, ServiceName},
 };
 
 /// Part of the withdrawal bound in which no new request is admitted. It covers differences of clock rates and the time
@@ -39,6 +39,7 @@
     /// Revisions of removals, so that a page of an older list doesn't bring an endpoint back.
     removed_at: HashMap<EndpointName, u64>,
     pub(crate) contact: StoreContact,
+    pub(crate) evacuations: Evacuations,
 }
 
 /// Effect of a change of the registrations.
@@ -235,6 +236,7 @@
                 && endpoint.service == *service
                 && endpoint.stage == stage
                 && !endpoint.is_draining
+                && !self.evacuations.is_evacuated(&endpoint.data_centre)
         };
         let taking = self.registrations.values().filter(takes_work);
         taking.map(|registration| &registration.endpoint)
@@ -252,9 +254,52 @@
             self.is_present(known, now)
                 && !known.endpoint.is_draining
                 && known.endpoint.started_ms == endpoint.started_ms
+                && !self.evacuations.is_evacuated(&known.endpoint.data_centre)
         })
     }
 
+    /// Time for which evacuations alone have kept the endpoints of a service from new work of a stage; `None` if one takes
+    /// work, or none would without them.
+    pub(crate) fn evacuated_for(
+        &self,
+        service: &ServiceName,
+        stage: Stage,
+        now: Moment,
+    ) -> Option<Duration> {
+        if self.endpoints(service, stage, now).next().is_some() {
+            return None;
+        }
+        let would_take_work = |registration: &&Registration| {
+            let endpoint = &registration.endpoint;
+            self.is_present(registration, now)
+                && endpoint.service == *service
+                && endpoint.stage == stage
+                && !endpoint.is_draining
+        };
+        let kept = self.registrations.values().filter(would_take_work);
+        let lasted = kept.filter_map(|registration| {
+            let data_centre = &registration.endpoint.data_centre;
+            self.evacuations.lasted(data_centre, now)
+        });
+        // The first data centre that is back can serve; which one that is, is not known.
+        lasted.min()
+    }
+
+    /// Number of endpoints that are registered in a data centre.
+    #[must_use]
+    pub(crate) fn count_in(&self, data_centre: &DataCentreName) -> usize {
+        let all = self.registrations.values();
+        let inside = all.filter(|known| known.endpoint.data_centre == *data_centre);
+        inside.count()
+    }
+
+    /// Number of evacuated data centres in which endpoints are registered.
+    #[must_use]
+    pub(crate) fn evacuated_centres(&self) -> usize {
+        let evacuated = self.evacuations.names();
+        evacuated.filter(|name| self.count_in(name) > 0).count()
+    }
+
     /// The endpoint of which an incarnation is registered.
     pub(crate) fn named(&self, incarnation: EndpointIncarnation) -> Option<&Endpoint> {
         let mut endpoints = self.registrations.values().map(|known| &*known.endpoint);
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -17,7 +17,7 @@
         lengths::LengthModel, loads::Loads, placement::PlacementQueue, return_queue::ReturnQueue,
     },
     clock::Moment,
-    configuration::{Endpoint, RouteKind},
+    configuration::{Endpoint, RouteKind, Stage},
     contract::{
         quota::{Quotas, usable_share},
         retries::{RetryBounds, RetryBudget},
@@ -107,6 +107,8 @@
     pub(crate) mirror: RefCell<StoreMirror>,
     /// Whether this entry reads the store itself.
     pub(crate) reads_store: Cell<bool>,
+    /// Whether a watch of all keys of the store is under way.
+    pub(crate) is_watching_all: Cell<bool>,
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
@@ -200,6 +202,7 @@
             recent: RefCell::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
+            is_watching_all: Cell::new(false),
             quotas: RefCell::default(),
             retries: RefCell::new(RetryBudget::new(bounds)),
             lengths: RefCell::default(),
@@ -362,6 +365,16 @@
             && notices.may_send(endpoint.incarnation(), now)
     }
 
+    /// Rejects the waiting requests whose endpoints are all in evacuated data centres.
+    pub(crate) fn reject_evacuated(&self) {
+        let now = Moment::now();
+        let registry = self.registry.borrow();
+        self.placement_queue.reject(|request| {
+            let lasted = registry.evacuated_for(&request.service, Stage::Decode, now);
+            lasted.is_some()
+        });
+    }
+
     /// Checks in the background whether an endpoint that broke off a request after a number of events has crashed. An
     /// endpoint that only lost an answer or reset a connection still accepts new connections.
     pub(crate) fn check_for_crash(
@@ -442,6 +455,7 @@
         registry.configuration().is_some()
             && self.are_keys_open(now)
             && !self.is_configuration_overdue(now)
+            && registry.evacuations.is_listed()
             && registry.has_endpoints()
             && !self.is_leaving()
     }
@@ -515,6 +529,7 @@
             waiting: self.placement_queue.waiting(),
             peers_known: peers.count() - 1,
             peers_silent: peers.silent(self.keys_rejected_after(), now),
+            evacuated_centres: registry.evacuated_centres(),
             reads_store: self.reads_store.get(),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
         })
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -90,6 +90,7 @@
     pub(crate) waiting: usize,
     pub(crate) peers_known: usize,
     pub(crate) peers_silent: usize,
+    pub(crate) evacuated_centres: usize,
     pub(crate) reads_store: bool,
     pub(crate) log_lines_dropped: u64,
 }
@@ -112,6 +113,7 @@
     waiting: Gauge<u64, AtomicU64>,
     peers_known: Gauge<u64, AtomicU64>,
     peers_silent: Gauge<u64, AtomicU64>,
+    evacuated_centres: Gauge<u64, AtomicU64>,
     reads_store: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
 }
@@ -150,6 +152,7 @@
             waiting: Gauge::default(),
             peers_known: Gauge::default(),
             peers_silent: Gauge::default(),
+            evacuated_centres: Gauge::default(),
             reads_store: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
@@ -215,6 +218,11 @@
             "Other entries whose share of quotas is withheld",
             &self.peers_silent,
         );
+        gauge(
+            "evacuated_data_centres",
+            "Evacuated data centres in which endpoints are registered",
+            &self.evacuated_centres,
+        );
         gauge(
             "reads_store",
             "1 while the entry reads the store for its data centre, 0 while it follows another",
@@ -311,6 +319,7 @@
         self.waiting.set(gauges.waiting as u64);
         self.peers_known.set(gauges.peers_known as u64);
         self.peers_silent.set(gauges.peers_silent as u64);
+        self.evacuated_centres.set(gauges.evacuated_centres as u64);
         self.reads_store.set(u64::from(gauges.reads_store));
         self.log_lines_dropped.set(gauges.log_lines_dropped);
         let mut text = String::new();
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -309,7 +309,9 @@
         ));
     }
     let registry = entry.registry.borrow();
+    // Before the evacuations have been listed once, any data centre may be evacuated.
     let configuration = registry.configuration().cloned();
+    let configuration = configuration.filter(|_| registry.evacuations.is_listed());
     let configuration = configuration.ok_or_else(|| {
         Refusal::not_run(RequestEnd::NoConfiguration, entry.retry_elsewhere_after())
     })?;
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -9,7 +9,7 @@
 use crate::{
     balance::return_queue::reject_hopeless,
     clock::Moment,
-    configuration::Endpoint,
+    configuration::{Endpoint, Stage},
     dialect::AnswerFacts,
     entry::Entry,
     metrics::Notice,
@@ -19,6 +19,12 @@
     upstream::{Answer, Connection, SendError},
 };
 
+/// Minimum Retry-After of a request whose endpoints are all in evacuated data centres.
+const MIN_EVACUATION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Maximum Retry-After of such a request, so that callers notice the end of a long evacuation.
+const MAX_EVACUATION_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// The attempts that one request has made so far.
 #[derive(Clone, Default)]
 pub(crate) struct Progress {
@@ -91,6 +97,23 @@
         }
     }
 
+    /// The refusal of a request for which no endpoint is left: evacuations state when one may return, else `usual` is.
+    pub(crate) fn no_endpoint(
+        &self,
+        entry: &Entry,
+        admitted: &Admitted,
+        stage: Stage,
+        usual: Duration,
+    ) -> Refusal {
+        match evacuated_for(entry, admitted, stage) {
+            Some(lasted) => {
+                let retry_after = retry_after_evacuation(lasted);
+                self.give_up(RequestEnd::EndpointsEvacuated, retry_after)
+            }
+            None => self.give_up(RequestEnd::NoEndpoint, usual),
+        }
+    }
+
     /// The refusal of a request that won't be sent again.
     pub(crate) fn give_up(&self, reason: RequestEnd, retry_after: Duration) -> Refusal {
         if self.runs > 0 {
@@ -101,6 +124,18 @@
     }
 }
 
+/// Time for which evacuations alone have kept the endpoints of a request's service from new work; `None` if they don't.
+pub(crate) fn evacuated_for(entry: &Entry, admitted: &Admitted, stage: Stage) -> Option<Duration> {
+    let registry = entry.registry.borrow();
+    registry.evacuated_for(&admitted.service, stage, Moment::now())
+}
+
+/// Retry-After of a request whose endpoints are all in evacuated data centres. When an evacuation ends is not published;
+/// one that has lasted for a time is likely to last as long again.
+pub(crate) fn retry_after_evacuation(lasted: Duration) -> Duration {
+    lasted.clamp(MIN_EVACUATION_RETRY_AFTER, MAX_EVACUATION_RETRY_AFTER)
+}
+
 /// Result of one attempt.
 pub(crate) enum AttemptOutcome {
     /// The endpoint answered; the body is still to be read.
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -70,7 +70,8 @@
 ) -> Result<Response<BoxedBody>, Refusal> {
     loop {
         let Some(endpoint) = next_endpoint(entry, admitted, progress).await? else {
-            return Err(progress.give_up(RequestEnd::NoEndpoint, TRANSIENT_RETRY_AFTER));
+            let stage = admitted.stage();
+            return Err(progress.no_endpoint(entry, admitted, stage, TRANSIENT_RETRY_AFTER));
         };
         progress.check_harmless(entry, admitted)?;
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(Run::default()));
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -222,12 +222,25 @@
     }
 }
 
+fn is_evacuated(entry: &Entry, endpoint: &Endpoint) -> bool {
+    let registry = entry.registry.borrow();
+    registry.evacuations.is_evacuated(&endpoint.data_centre)
+}
+
+/// Drops a KV cache whose data centre has been evacuated since the prefill, since the decode endpoint would fetch it from
+/// there; returns whether it did. The prompt is prefilled again elsewhere.
+pub(crate) fn drop_evacuated_cache(entry: &Entry, prefilled: &mut Option<Prefilled>) -> bool {
+    let held = prefilled.take_if(|held| is_evacuated(entry, &held.endpoint));
+    held.is_some()
+}
+
 /// Frees a KV cache that no decode endpoint will take.
 pub(crate) fn free_kv_cache(entry: &Rc<Entry>, prefilled: Option<Prefilled>) {
     let Some(held) = prefilled else { return };
     let incarnation = held.endpoint.incarnation();
-    if entry.notices.borrow().holds_off(incarnation, Moment::now()) {
-        // The endpoint wants no calls; the cache expires by itself.
+    let is_evacuated = is_evacuated(entry, &held.endpoint);
+    if is_evacuated || entry.notices.borrow().holds_off(incarnation, Moment::now()) {
+        // The endpoint gets no calls; the cache expires by itself.
         return;
     }
     let request = (entry.dialect.free_kv)(&held.handle);
--- a/crates/camphorwall-direct/src/serve/run.rs
+++ b/crates/camphorwall-direct/src/serve/run.rs
@@ -95,6 +95,7 @@
     tracing::info!(event = "started", instance = %entry.settings().instance);
     let background = &entry.tasks;
     background.spawn(store::follow(Rc::clone(&entry)));
+    background.spawn(store::follow_evacuations(Rc::clone(&entry)));
     background.spawn(store::keep_configuration(Rc::clone(&entry)));
     background.spawn(placement::run_placement_queue(Rc::clone(&entry)));
     background.spawn(peers::send_heartbeats(Rc::clone(&entry), socket.clone()));
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -27,8 +27,8 @@
     request_log::RequestLog,
     serve::{
         events::EventSplitter,
-        outcome::{AttemptOutcome, Progress, attempt_on},
-        prefill::{Prefilled, free_kv_cache, prefill},
+        outcome::{AttemptOutcome, Progress, attempt_on, evacuated_for, retry_after_evacuation},
+        prefill::{Prefilled, drop_evacuated_cache, free_kv_cache, prefill},
         refusal::Refusal,
     },
     upstream::{Answer, AnswerBody, Connection},
@@ -189,7 +189,11 @@
             connecting.await?
         };
         let endpoint = &connected.placement.endpoint;
+        let is_cache_lost = drop_evacuated_cache(entry, prefilled);
         if entry.may_send(endpoint) {
+            if is_cache_lost {
+                continue;
+            }
             return Ok(connected);
         }
         // The endpoint began to drain or to hold requests off during the prefill.
@@ -326,7 +330,7 @@
         endpoints.any(|endpoint| !progress.excluded.contains(&endpoint.id))
     };
     if !has_endpoints {
-        return Err(progress.give_up(RequestEnd::NoEndpoint, CAPACITY_RETRY_AFTER));
+        return Err(progress.no_endpoint(entry, admitted, Stage::Decode, CAPACITY_RETRY_AFTER));
     }
     let wait_phases = wait_phases(
         admitted,
@@ -350,6 +354,7 @@
     let mut placement = None;
     for (rank, until) in wait_phases {
         progress.check_harmless(entry, admitted)?;
+        check_evacuated(entry, admitted, progress)?;
         check_return(entry, admitted, progress, start_by)?;
         let left = until.since(Moment::now());
         if placement.is_none() && !left.is_zero() {
@@ -361,6 +366,7 @@
     note_passed_over(entry, admitted, Stage::Decode);
     progress.check_harmless(entry, admitted)?;
     if placement.is_none() {
+        check_evacuated(entry, admitted, progress)?;
         check_return(entry, admitted, progress, start_by)?;
     }
     placement.ok_or_else(|| {
@@ -369,6 +375,15 @@
     })
 }
 
+/// Refuses a request whose decode endpoints are all in data centres that were evacuated while it waited.
+fn check_evacuated(entry: &Entry, admitted: &Admitted, progress: &Progress) -> Result<(), Refusal> {
+    let lasted = evacuated_for(entry, admitted, Stage::Decode);
+    lasted.map_or(Ok(()), |lasted| {
+        let retry_after = retry_after_evacuation(lasted);
+        Err(progress.give_up(RequestEnd::EndpointsEvacuated, retry_after))
+    })
+}
+
 /// Refuses a request if all decode endpoints hold requests off until after the last moment at which it can start.
 fn check_return(
     entry: &Entry,
@@ -440,7 +455,7 @@
         &progress.excluded,
     );
     let chosen = choose_plain(&candidates)
-        .ok_or_else(|| progress.give_up(RequestEnd::NoEndpoint, CAPACITY_RETRY_AFTER))?;
+        .ok_or_else(|| progress.no_endpoint(entry, admitted, Stage::Whole, CAPACITY_RETRY_AFTER))?;
     Ok(Placement::new(
         entry,
         Rc::clone(&endpoints[chosen]),
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -6,6 +6,7 @@
 
 use super::{
     call::{StoreError, call_reader},
+    evacuations::apply_listed,
     follow::{RETRY_PAUSE, choose_source, list},
     readers::{Source, configuration_source},
     relay::{self, ConfigurationHead},
@@ -72,6 +73,9 @@
     let sent_at = Moment::now();
     let prefix = entry.dialect.store.configuration_prefix;
     let (items, revision) = list(entry, prefix).await?;
+    if entry.dialect.store.evacuations_prefix.starts_with(prefix) {
+        apply_listed(entry, &items, revision);
+    }
     for item in &items {
         apply_configuration(entry, item).await;
     }
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -9,6 +9,7 @@
 use super::{
     call::{StoreError, call_reader, call_store},
     configuration::apply_configuration,
+    evacuations::{apply_evacuated, apply_evacuation, note_watched_all},
     readers::{LocalEntry, Neighbour, Source, source},
     relay::{self, ceil_ms},
 };
@@ -279,7 +280,10 @@
         proof_wait(entry.registry.borrow().proof_age(sent_at))
     };
     let path = (store.watch_path)("", after, wait);
-    let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
+    entry.is_watching_all.set(true);
+    let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await;
+    entry.is_watching_all.set(false);
+    let body = body?;
     note_store_answer(entry, sent_at, wait);
     if !body.is_complete {
         let now = Moment::now();
@@ -292,6 +296,9 @@
     }
     let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
     for item in &changes.items {
+        if apply_evacuation(entry, item) {
+            continue;
+        }
         if item.key.starts_with(store.endpoints_prefix) {
             apply_endpoint(entry, item);
         } else if item.key.starts_with(store.configuration_prefix) {
@@ -300,6 +307,7 @@
     }
     let elapsed = Moment::now().since(sent_at);
     let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
+    note_watched_all(entry, after, changes.revision, known_to);
     let mut tracker = entry.tracker.borrow_mut();
     tracker.confirm(changes.revision);
     if !tracker.is_outdated() {
@@ -349,7 +357,8 @@
     } else {
         STALE_WAIT
     };
-    let path = relay::changes_path(after, wait);
+    let evacuations_known = entry.registry.borrow().evacuations.revision();
+    let path = relay::changes_path(after, evacuations_known.unwrap_or(0), wait);
     let body = call_reader(reader, &path, wait).await?;
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
@@ -372,11 +381,21 @@
             },
         );
     }
+    let evacuations = &response.evacuations;
+    apply_evacuated(entry, &evacuations.evacuated, evacuations.revision);
     let waited = Duration::from_millis(response.waited_ms.into()).min(received_at.since(sent_at));
     let moment = |age_ms: u32| sent_at + waited - Duration::from_millis(age_ms.into());
     let known_to = moment(response.age_ms);
-    if response.age_ms > ceil_ms(STALE_PROOF_AGE) {
-        let error = format!("the reader's knowledge is {} ms old", response.age_ms);
+    let evacuations_known_to = moment(response.evacuations_age_ms);
+    let mut registry = entry.registry.borrow_mut();
+    let known_revision = evacuations.revision;
+    registry
+        .evacuations
+        .advance(known_revision, Some(evacuations_known_to));
+    drop(registry);
+    let age_ms = response.age_ms.max(response.evacuations_age_ms);
+    if age_ms > ceil_ms(STALE_PROOF_AGE) {
+        let error = format!("the reader's knowledge is {age_ms} ms old");
         return Err(StoreError::Failed(error));
     }
     let reported = &response.configuration;
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod configuration;
+mod evacuations;
 mod follow;
 mod mirror;
 mod readers;
@@ -13,6 +14,8 @@
 #[cfg(test)]
 mod call_tests;
 #[cfg(test)]
+mod evacuations_tests;
+#[cfg(test)]
 mod follow_tests;
 #[cfg(test)]
 mod mirror_tests;
@@ -24,6 +27,7 @@
 mod tracker_tests;
 
 pub(crate) use configuration::{ParsedRoutes, keep_configuration};
+pub(crate) use evacuations::follow_evacuations;
 pub(crate) use follow::follow;
 pub(crate) use mirror::StoreMirror;
 pub(crate) use readers::{CentreKey, Neighbour, centre_key};
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -12,7 +12,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::mirror::ChangedItem;
-use crate::{clock::Moment, configuration::KeysDigest, entry::Entry};
+use crate::{
+    clock::Moment, configuration::KeysDigest, endpoints::evacuation::ReportedEvacuations,
+    entry::Entry,
+};
 
 /// Maximum time for which a reader holds a follower's call.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -33,6 +36,9 @@
     pub(crate) outage_age_ms: Option<u32>,
     /// Highest revision up to which an entry with a sound way to the store has seen all changes.
     pub(crate) sound_revision: u64,
+    pub(crate) evacuations: ReportedEvacuations,
+    /// Time since the reader last knew all evacuations.
+    pub(crate) evacuations_age_ms: u32,
 }
 
 /// What a reader knows of the newest configuration. Configurations are large and change rarely, so followers get them by
@@ -69,9 +75,10 @@
     pub(crate) waited_ms: u32,
 }
 
-/// Path and query of a follower's call for changes of registrations.
-pub(crate) fn changes_path(after: u64, wait: Duration) -> String {
-    format!("/changes?after={after}&wait_ms={}", wait.as_millis())
+/// Path and query of a follower's call for changes of registrations after a revision, and of evacuations after another.
+pub(crate) fn changes_path(after: u64, evacuations_after: u64, wait: Duration) -> String {
+    let wait_ms = wait.as_millis();
+    format!("/changes?after={after}&evacuations_after={evacuations_after}&wait_ms={wait_ms}")
 }
 
 /// Path and query of a follower's call for a configuration newer than that of a revision.
@@ -100,7 +107,14 @@
     if request.uri().path() == CONFIGURATION_PATH {
         return answer_configuration(&entry, after, wait).await;
     }
-    let has_changes = entry.mirror.borrow().revision() > after;
+    // A follower of an earlier version doesn't ask for evacuations.
+    let evacuations_after = number(query, "evacuations_after").unwrap_or(u64::MAX);
+    let has_changes = entry.mirror.borrow().revision() > after
+        || entry
+            .registry
+            .borrow()
+            .evacuations
+            .has_change_after(evacuations_after);
     if !has_changes && entry.reads_store.get() {
         let renewed = entry.mirror.borrow_mut().next_update();
         // After a timeout as after an update, the response contains what is known by then.
@@ -147,7 +161,13 @@
     let Some(items) = mirror.changes(after) else {
         return refuse(StatusCode::GONE);
     };
-    let contact = &entry.registry.borrow().contact;
+    let registry = entry.registry.borrow();
+    let contact = &registry.contact;
+    let (Some(evacuations), Some(evacuations_age)) =
+        (registry.evacuations.report(), registry.evacuations.age(now))
+    else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE);
+    };
     let response = ChangesResponse {
         revision: mirror.revision(),
         items,
@@ -156,6 +176,8 @@
         waited_ms: whole_ms(now.since(received_at)),
         outage_age_ms: contact.outage_age(now).map(whole_ms),
         sound_revision: contact.sound_revision(),
+        evacuations,
+        evacuations_age_ms: ceil_ms(evacuations_age),
     };
     match postcard::to_stdvec(&response) {
         Ok(bytes) => Response::new(full_body(bytes)),
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -26,6 +26,10 @@
     let proved_at = Moment::now() - proof_age;
     entry.registry.borrow_mut().prove(proved_at);
     entry.tracker.borrow_mut().confirm(4);
+    {
+        let mut registry = entry.registry.borrow_mut();
+        registry.evacuations.advance(4, Some(proved_at));
+    }
     entry.mirror.borrow_mut().advance(4, Some(proved_at));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -84,6 +84,7 @@
     free_kv: |_| Request::default(),
     store: StoreDialect {
         configuration_prefix: "configuration",
+        evacuations_prefix: "evacuations/",
         endpoints_prefix: "endpoints/",
         list_path: |_, _| String::new(),
         watch_path: |_, _, _| String::new(),
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -24,6 +24,8 @@
     CrashesEndpoints,
     /// The endpoint answered with a failure.
     EndpointFailed,
+    /// All endpoints of the service are in evacuated data centres.
+    EndpointsEvacuated,
     /// All endpoints that were tried refused the request.
     EndpointsFull,
     /// All endpoints asked for no requests, for longer than the caller waits.
@@ -100,6 +102,9 @@
                 "endpoints crashed three times at the same point of the request, or before they began to answer others with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
             }
             Self::EndpointFailed => "the endpoint answered with a failure, which was forwarded",
+            Self::EndpointsEvacuated => {
+                "all endpoints of the service are in evacuated data centres; evacuation_began names them, and Retry-After is how long the newest evacuation has lasted"
+            }
             Self::EndpointsFull => {
                 "each endpoint that was tried answered that it is full; the request has not run"
             }
@@ -112,7 +117,7 @@
             }
             Self::LargerThanAnyEndpoint => "the prompt exceeds the memory of one engine",
             Self::NoConfiguration => {
-                "the process has just started or never reached the store; look for store_lost"
+                "the process has just started or never reached the store, so it knows no configuration or no evacuations; look for store_lost and evacuations_not_read"
             }
             Self::NoEndpoint => {
                 "no endpoint is registered, or all were tried; look at endpoint_changed"
