--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -91,6 +91,7 @@
     pub(crate) peers_known: usize,
     pub(crate) peers_silent: usize,
     pub(crate) allowance_entries: usize,
+    pub(crate) evacuated_centres: usize,
     pub(crate) reads_store: bool,
     pub(crate) log_lines_dropped: u64,
 }
@@ -114,6 +115,7 @@
     peers_known: Gauge<u64, AtomicU64>,
     peers_silent: Gauge<u64, AtomicU64>,
     allowance_entries: Gauge<u64, AtomicU64>,
+    evacuated_centres: Gauge<u64, AtomicU64>,
     reads_store: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
 }
@@ -153,6 +155,7 @@
             peers_known: Gauge::default(),
             peers_silent: Gauge::default(),
             allowance_entries: Gauge::default(),
+            evacuated_centres: Gauge::default(),
             reads_store: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
@@ -223,6 +226,11 @@
             "Entries that share the retry allowance, 0 while this entry uses none",
             &self.allowance_entries,
         );
+        gauge(
+            "evacuated_data_centres",
+            "Evacuated data centres in which endpoints are registered",
+            &self.evacuated_centres,
+        );
         gauge(
             "reads_store",
             "1 while the entry reads the store for its data centre, 0 while it follows another",
@@ -320,6 +328,7 @@
         self.peers_known.set(gauges.peers_known as u64);
         self.peers_silent.set(gauges.peers_silent as u64);
         self.allowance_entries.set(gauges.allowance_entries as u64);
+        self.evacuated_centres.set(gauges.evacuated_centres as u64);
         self.reads_store.set(u64::from(gauges.reads_store));
         self.log_lines_dropped.set(gauges.log_lines_dropped);
         let mut text = String::new();
