Read how long endpoints are cold and what they can sustain

Cause: a service can state that its endpoints are cold after a start, and at which rate a cold endpoint crashes. Entries ignored both, so callers of a service whose endpoints start during traffic lost answers to crashes.

Change: the platform's adapter reads the cold time of a registration and of an answer's head, and the two limits of a service. The settings get two optional bounds. Nothing decides by these values yet.

--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -161,6 +161,37 @@
 pub struct Service {
     /// Limits of its model engines; none for a plain service.
     pub engine: Option<EngineLimits>,
+    /// Limit of the requests to an endpoint that is cold; none if its endpoints are never cold.
+    pub cold: Option<ColdLimits>,
+}
+
+/// What a cold endpoint of a service can sustain.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdLimits {
+    /// Time for which an endpoint is cold after its start, in milliseconds.
+    pub start_ms: u64,
+    /// Requests that a cold endpoint can sustain in 1,000 seconds.
+    pub requests_per_1000_s: u64,
+}
+
+impl ColdLimits {
+    /// Whole requests that a cold endpoint may get from the entire fleet in any one second.
+    #[must_use]
+    pub fn allowance(&self, overshoot: f64, slack: f64) -> u32 {
+        const MAX_ALLOWANCE: f64 = 1_000_000.0;
+        let per_s = self.requests_per_1000_s as f64 / 1_000.0;
+        whole(per_s.mul_add(overshoot, slack).min(MAX_ALLOWANCE))
+    }
+}
+
+/// Drops the fraction of a number; a negative one gives 0.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "float casts saturate"
+)]
+fn whole(number: f64) -> u32 {
+    number as u32
 }
 
 /// Limits of one model engine.
@@ -252,4 +283,6 @@
     pub is_draining: bool,
     /// Part of a model's work that the endpoint does.
     pub stage: Stage,
+    /// How long the endpoint stays cold from the time at which it registered; a text that gives no time is kept for the log.
+    pub cold_time: Option<Result<Duration, Box<str>>>,
 }
--- a/crates/camphorwall-direct/src/configuration_change_tests.rs
+++ b/crates/camphorwall-direct/src/configuration_change_tests.rs
@@ -4,7 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    configuration::{Configuration, Route, Service, Team},
+    configuration::{ColdLimits, Configuration, Route, Service, Team},
     configuration_change::ConfigurationChange,
     testing::{route, team},
 };
@@ -41,7 +41,17 @@
     Configuration {
         version,
         routes: routes.into_iter().collect(),
-        services: [("drafts".parse().expect("a name"), Service { engine: None })].into(),
+        services: [(
+            "drafts".parse().expect("a name"),
+            Service {
+                engine: None,
+                cold: Some(ColdLimits {
+                    start_ms: 20_000,
+                    requests_per_1000_s: 4_500,
+                }),
+            },
+        )]
+        .into(),
         has_teams: random.random(),
         keys,
         ..Configuration::default()
--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -167,6 +167,8 @@
     pub is_leaving: bool,
     /// Time for which the endpoint wants no requests; a text that gives none is kept for the log.
     pub retry_after: Option<Result<Duration, Box<str>>>,
+    /// How long the endpoint stays cold; zero if it is warm. A text that gives no time is kept for the log.
+    pub cold_time: Option<Result<Duration, Box<str>>>,
 }
 
 /// A page of the store's items.
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -42,8 +42,8 @@
 mod testing;
 
 pub use configuration::{
-    CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
-    UnreadableParts,
+    CallerLimits, ColdLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service,
+    Stage, Team, UnreadableParts,
 };
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -242,7 +242,10 @@
         facts,
         route,
         service,
-        service_facts: service_facts.unwrap_or(Service { engine: None }),
+        service_facts: service_facts.unwrap_or(Service {
+            engine: None,
+            cold: None,
+        }),
         team,
         content,
         request_log: Rc::clone(request_log),
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -52,6 +52,10 @@
     pub retry_window_s: Option<f64>,
     /// Retries in each window beyond the share.
     pub retry_allowance: Option<f64>,
+    /// Requests that a cold endpoint may get, as a multiple of the rate that it can sustain.
+    pub cold_overshoot: Option<f64>,
+    /// Requests that a cold endpoint may get in a second beyond that.
+    pub cold_slack: Option<f64>,
 }
 
 impl Bounds {
@@ -61,6 +65,8 @@
     const DEFAULT_RETRY_SHARE: f64 = 0.1;
     const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
     const DEFAULT_RETRY_ALLOWANCE: f64 = 20.0;
+    const DEFAULT_COLD_OVERSHOOT: f64 = 1.0;
+    const DEFAULT_COLD_SLACK: f64 = 0.0;
 
     /// Time after which a published configuration must be in force.
     #[must_use]
@@ -104,6 +110,18 @@
         self.retry_allowance
             .unwrap_or(Self::DEFAULT_RETRY_ALLOWANCE)
     }
+
+    /// Requests that a cold endpoint may get, as a multiple of the rate that it can sustain.
+    #[must_use]
+    pub fn cold_overshoot(&self) -> f64 {
+        self.cold_overshoot.unwrap_or(Self::DEFAULT_COLD_OVERSHOOT)
+    }
+
+    /// Requests that a cold endpoint may get in a second beyond that.
+    #[must_use]
+    pub fn cold_slack(&self) -> f64 {
+        self.cold_slack.unwrap_or(Self::DEFAULT_COLD_SLACK)
+    }
 }
 
 impl DirectSettings {
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -424,6 +424,11 @@
             tracing::warn!(event = "endpoint_unreadable", key = &*item.key, error);
         })
     });
+    if let Some(Ok(endpoint)) = &parsed
+        && let Some(Err(value)) = &endpoint.cold_time
+    {
+        tracing::warn!(event = "cold_time_unreadable", endpoint = %endpoint.id, value = &**value);
+    }
     let change = match (parsed, endpoint_id(entry, &item.key)) {
         (Some(Ok(endpoint)), _) => entry
             .registry
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -72,6 +72,7 @@
         slots: 4,
         is_draining: false,
         stage,
+        cold_time: None,
     }
 }
 
@@ -133,6 +134,8 @@
             retry_share: None,
             retry_window_s: None,
             retry_allowance: None,
+            cold_overshoot: None,
+            cold_slack: None,
         },
     };
     Entry::new(settings, PathBuf::from("/nonexistent"), EMPTY_DIALECT, None)
