Limit what a cold endpoint gets from all entries together

Callers saw: requests to endpoints that had just started were lost, because each entry sent them a full share and the endpoint crashed above its cold rate.

Cause: no entry knew which endpoints are cold, and nothing divides their rate over entries that share no state.

Change: the allowance of a second is a number of permits. A permit belongs to the member of the fleet with the highest hash of permit and member, so two entries that know each other never use the same one. An entry holds permits once it has waited for what its predecessor sent, and all that hold some know it; it gives them up without most members. Idle entries lease theirs for a second, by the borrower's clock. Every call counts at its send: plain, prefill, decode, resumed, and the one that frees a KV cache. One that was not sent, or was answered 421, gives its permit back. Choices prefer warm endpoints with free slots, then cold ones with a permit. Refusals for want of a permit have an outcome of their own, endpoints_cold. Heartbeats carry the split only while a service has a limit; without one, no code path differs.

--- a/crates/camphorwall-direct/src/balance/choice.rs
+++ b/crates/camphorwall-direct/src/balance/choice.rs
@@ -15,6 +15,20 @@
     pub(crate) is_unreachable: bool,
     /// Share of its requests that failed recently.
     pub(crate) expected_loss: f64,
+    /// Whether it has just started and can sustain only few requests a second.
+    pub(crate) is_cold: bool,
+}
+
+impl Candidate {
+    /// Rank that goes before any score: warm endpoints with free slots first, then cold ones, then full ones.
+    fn warmth_rank(&self) -> u8 {
+        let has_slot = self.runs.len() < self.slots as usize;
+        match (has_slot, self.is_cold) {
+            (true, false) => 0,
+            (true, true) => 1,
+            (false, _) => 2,
+        }
+    }
 }
 
 /// Penalty on a decode endpoint in another data centre, as a share of its capacity.
@@ -144,12 +158,20 @@
     score: impl Fn(&Candidate) -> Option<f64>,
 ) -> Option<usize> {
     let is_any_reachable = candidates.iter().any(|candidate| !candidate.is_unreachable);
+    let is_any_cold = candidates.iter().any(|candidate| candidate.is_cold);
     let scored = candidates
         .iter()
         .enumerate()
         .filter(|(_, candidate)| !(is_any_reachable && candidate.is_unreachable))
-        .filter_map(|(index, candidate)| Some((index, score(candidate)?)));
+        .filter_map(|(index, candidate)| {
+            let rank = if is_any_cold {
+                candidate.warmth_rank()
+            } else {
+                0
+            };
+            Some((index, rank, score(candidate)?))
+        });
     scored
-        .min_by(|(_, a), (_, b)| a.total_cmp(b))
-        .map(|(index, _)| index)
+        .min_by(|(_, rank_a, a), (_, rank_b, b)| rank_a.cmp(rank_b).then(a.total_cmp(b)))
+        .map(|(index, _, _)| index)
 }
--- a/crates/camphorwall-direct/src/balance/choice_tests.rs
+++ b/crates/camphorwall-direct/src/balance/choice_tests.rs
@@ -202,3 +202,27 @@
     assert!(fits(&prompts));
     assert!(!fits(&answers));
 }
+
+/// Guards against cold endpoints that are preferred because they are idle, and against warm ones that are overfilled while
+/// a cold one may still get a request.
+#[test]
+fn warm_endpoints_with_free_slots_go_before_cold_ones_and_those_before_full_ones() {
+    let with = |runs: usize, is_cold| Candidate {
+        is_cold,
+        ..candidate(&vec![Run::default(); runs])
+    };
+    let slots = candidate(&[]).slots as usize;
+    assert_eq!(
+        choose_plain(&[with(0, true), with(slots - 1, false)]),
+        Some(1)
+    );
+    assert_eq!(choose_plain(&[with(0, true), with(slots, false)]), Some(0));
+    assert_eq!(
+        choose_plain(&[with(slots, true), with(slots, false)]),
+        Some(0)
+    );
+    assert_eq!(
+        choose_prefill(&[with(0, true), with(1, false)], 1_000),
+        Some(1)
+    );
+}
--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -15,7 +15,7 @@
     },
     clock::Moment,
     configuration::{Endpoint, Stage},
-    endpoints::{notices::Availability, poison::Content},
+    endpoints::{cold_limit::Warmth, notices::Availability, poison::Content},
     entry::Entry,
     names::{EndpointName, ServiceName},
     notify::Notify,
@@ -300,11 +300,14 @@
     let loads = entry.loads.borrow();
     let suspicions = entry.suspicions.borrow();
     let notices = entry.notices.borrow();
+    let cold_limit = entry.cold_limit(service);
+    let mut cold = entry.cold.borrow_mut();
     let mut endpoints: Vec<_> = registry
         .endpoints(service, stage, now)
         .filter(|endpoint| {
             notices.availability(endpoint, now) == Availability::Now
                 && !excluded.contains(&endpoint.id)
+                && cold.warmth(endpoint, cold_limit, now) != Warmth::Denied
         })
         .cloned()
         .collect();
@@ -319,6 +322,7 @@
             is_near: endpoint.data_centre == *near,
             is_unreachable: suspicions.is_unreachable(&endpoint.id, now),
             expected_loss: suspicions.expected_loss(&endpoint.id, now),
+            is_cold: cold.warmth(endpoint, cold_limit, now) != Warmth::Warm,
         })
         .collect();
     (endpoints, candidates)
--- a/crates/camphorwall-direct/src/balance/return_queue.rs
+++ b/crates/camphorwall-direct/src/balance/return_queue.rs
@@ -8,7 +8,10 @@
     balance::placement::QueueRank,
     clock::Moment,
     configuration::{Endpoint, Stage},
-    endpoints::notices::{Availability, first_return},
+    endpoints::{
+        cold_limit::count_denied,
+        notices::{Availability, first_return},
+    },
     entry::Entry,
     names::{EndpointName, ServiceName},
     notify::Notify,
@@ -179,7 +182,10 @@
     let passed_over =
         endpoints.filter(|endpoint| notices.availability(endpoint, now) != Availability::Now);
     let count = &admitted.request_log.passed_over;
-    count.set(count.get().max(passed_over.count()));
+    let passed_over = passed_over.count();
+    let endpoints = registry.endpoints(&admitted.service, stage, now);
+    let denied = count_denied(entry, endpoints, now);
+    count.set(count.get().max(passed_over + denied));
 }
 
 /// The refusal of a request for which no endpoint returns in time.
--- a/crates/camphorwall-direct/src/endpoints/mod.rs
+++ b/crates/camphorwall-direct/src/endpoints/mod.rs
@@ -1,5 +1,8 @@
 //! What an entry knows of the endpoints: registrations, failures, crashes and what they say of themselves.
 
+pub(crate) mod cold;
+pub(crate) mod cold_limit;
+pub(crate) mod cold_times;
 pub(crate) mod notices;
 pub(crate) mod poison;
 pub(crate) mod registry;
@@ -7,6 +10,12 @@
 pub(crate) mod store_contact;
 pub(crate) mod suspicion;
 
+#[cfg(test)]
+mod cold_history_tests;
+#[cfg(test)]
+mod cold_load_tests;
+#[cfg(test)]
+mod cold_tests;
 #[cfg(test)]
 mod notices_tests;
 #[cfg(test)]
--- a/crates/camphorwall-direct/src/endpoints/registry.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry.rs
@@ -261,6 +261,18 @@
         endpoints.find(|endpoint| endpoint.incarnation() == incarnation)
     }
 
+    /// All registered endpoints.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
+        self.registrations.values().map(|known| &known.endpoint)
+    }
+
+    /// Whether a registration is newer than what is known of its endpoint.
+    pub(crate) fn is_newer(&self, id: &EndpointName, revision: u64) -> bool {
+        let known = self.registrations.get(id).map(|known| known.revision);
+        let removed = self.removed_at.get(id).copied();
+        known.max(removed).is_none_or(|known| known < revision)
+    }
+
     /// Whether any endpoint is known.
     #[must_use]
     pub(crate) fn has_endpoints(&self) -> bool {
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -24,6 +24,8 @@
     },
     dialect::{Dialect, PromptPart},
     endpoints::{
+        cold::MemberId,
+        cold_limit::ColdState,
         notices::Notices,
         poison::{BlockCause, Content, Poison},
         registry::Registry,
@@ -113,6 +115,7 @@
     pub(crate) loads: RefCell<Loads>,
     pub(crate) suspicions: RefCell<Suspicions>,
     pub(crate) notices: RefCell<Notices>,
+    pub(crate) cold: RefCell<ColdState>,
     pub(crate) return_queue: ReturnQueue,
     pub(crate) poison: RefCell<Poison>,
     pub(crate) peers: RefCell<Peers>,
@@ -184,6 +187,8 @@
         let bounds = retry_bounds(&settings);
         let centre = centre_key(&settings.data_centre);
         let peers = Peers::new(settings.peer_address, centre, &settings.seeds, incarnation);
+        let mut cold = ColdState::new(MemberId::of(settings.peer_address), incarnation);
+        cold.add_seeds(peers.seed_members(&settings.seeds));
         let (end, ending) = stop_pair();
         let memory_mb = settings.memory_mb;
         Rc::new(Self {
@@ -206,6 +211,7 @@
             loads: RefCell::default(),
             suspicions: RefCell::default(),
             notices: RefCell::default(),
+            cold: RefCell::new(cold),
             return_queue: ReturnQueue::default(),
             poison: RefCell::default(),
             peers: RefCell::new(peers),
@@ -248,6 +254,8 @@
             .borrow_mut()
             .set_bounds(retry_bounds(&settings));
         self.peers.borrow_mut().add_seeds(&settings.seeds);
+        let members = self.peers.borrow().seed_members(&settings.seeds);
+        self.cold.borrow_mut().add_seeds(members);
         self.request_memory.set_memory(settings.memory_mb);
         self.answer_memory.set_memory(settings.memory_mb);
         self.settings.replace(Rc::new(settings));
@@ -511,6 +519,7 @@
                 (stuck.cause.reason, stuck.version(), time)
             }),
             unreadable_parts: configuration.map_or(0, |current| current.unreadable.count()),
+            cold_endpoints: self.cold_endpoints(),
             active: self.active_requests.get(),
             waiting: self.placement_queue.waiting(),
             peers_known: peers.count() - 1,
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -13,7 +13,13 @@
     },
     clock::Moment,
     contract::quota::ReportedAccount,
-    endpoints::{notices::ReportedLeaving, poison::ReportedSuspect, suspicion::ReportedResults},
+    endpoints::{
+        cold::{MemberId, ReportedSplit},
+        cold_times::ReportedColdTime,
+        notices::ReportedLeaving,
+        poison::ReportedSuspect,
+        suspicion::ReportedResults,
+    },
     entry::Entry,
     store::{CentreKey, Neighbour},
 };
@@ -79,6 +85,8 @@
     pub(crate) leaving: Vec<ReportedLeaving>,
     /// Requests that may have crashed endpoints.
     pub(crate) suspects: Vec<ReportedSuspect>,
+    /// The split of what cold endpoints can sustain, and their cold times; nothing if no service has a limit.
+    pub(crate) cold: Option<(ReportedSplit, Vec<ReportedColdTime>)>,
 }
 
 #[derive(Debug)]
@@ -145,6 +153,13 @@
         peers
     }
 
+    /// The members of the fleet that seeds name.
+    pub(crate) fn seed_members(&self, seeds: &[SocketAddr]) -> Vec<MemberId> {
+        let seeds = seeds.iter();
+        let addresses = seeds.map(|seed| SocketAddr::new(seed.ip(), self.local_address.port()));
+        addresses.map(MemberId::of).collect()
+    }
+
     /// Adds seeds to the known peers.
     pub(crate) fn add_seeds(&mut self, seeds: &[SocketAddr]) {
         let now = Moment::now();
@@ -366,6 +381,7 @@
             waiting: entry.placement_queue.report_waiters(now),
             leaving: entry.notices.borrow_mut().report(now),
             suspects: entry.poison.borrow_mut().report(now),
+            cold: entry.report_cold(now),
         };
         (addresses, heartbeat)
     };
@@ -411,6 +427,10 @@
     }
     if heartbeat.is_ending {
         peers.remove_departed(entry, from, heartbeat.incarnation, now);
+        let member = heartbeat.cold.map(|(split, _)| split.member);
+        if let Some(member) = member {
+            entry.cold.borrow_mut().split.note_departed(member, now);
+        }
         return;
     }
     let departed = peers.departed.get(&from);
@@ -451,6 +471,7 @@
     peer.is_serving = heartbeat.is_serving;
     peers.note_waiting(from, &heartbeat.waiting, now);
     drop(peers);
+    entry.note_cold_peer(heartbeat.incarnation, heartbeat.cold, now);
     {
         let mut registry = entry.registry.borrow_mut();
         registry
@@ -487,6 +508,7 @@
 
 fn forget_departed(entry: &Entry) {
     let now = Moment::now();
+    entry.log_cold_changes(now);
     let mut peers = entry.peers.borrow_mut();
     peers
         .departed
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -86,6 +86,7 @@
     /// Version that can't be put in force, and since when.
     pub(crate) stuck: Option<(UnreadableReason, u64, Duration)>,
     pub(crate) unreadable_parts: usize,
+    pub(crate) cold_endpoints: usize,
     pub(crate) active: usize,
     pub(crate) waiting: usize,
     pub(crate) peers_known: usize,
@@ -101,6 +102,7 @@
     phases: Family<PhaseLabels, Histogram>,
     retries: Family<ResultLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
+    cold_sends: Family<ResultLabels, Counter>,
     estimate_errors: Histogram,
     configuration_version: Gauge<u64, AtomicU64>,
     keys_proof_age: Gauge<f64, AtomicU64>,
@@ -108,6 +110,7 @@
     stuck_version: Family<ReasonLabels, Gauge<u64, AtomicU64>>,
     stuck_seconds: Gauge<f64, AtomicU64>,
     unreadable_parts: Gauge<u64, AtomicU64>,
+    cold_endpoints: Gauge<u64, AtomicU64>,
     active: Gauge<u64, AtomicU64>,
     waiting: Gauge<u64, AtomicU64>,
     peers_known: Gauge<u64, AtomicU64>,
@@ -138,6 +141,7 @@
             phases: Family::new_with_constructor(phase_histogram),
             retries: Family::default(),
             notices: Family::default(),
+            cold_sends: Family::default(),
             // Ratios of actual to estimated tokens, from 1/16 to 16.
             estimate_errors: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
             configuration_version: Gauge::default(),
@@ -146,6 +150,7 @@
             stuck_version: Family::default(),
             stuck_seconds: Gauge::default(),
             unreadable_parts: Gauge::default(),
+            cold_endpoints: Gauge::default(),
             active: Gauge::default(),
             waiting: Gauge::default(),
             peers_known: Gauge::default(),
@@ -181,6 +186,11 @@
             "Endpoints that said in an answer that they leave or want no requests for a time",
             self.notices.clone(),
         );
+        registry.register(
+            "cold_sends",
+            "Requests to cold endpoints that were sent, or denied for want of a permit",
+            self.cold_sends.clone(),
+        );
         registry.register(
             "output_estimate_ratio",
             "Generated tokens over the estimate at placement",
@@ -199,6 +209,11 @@
             "Routes, services and teams of the configuration in force that can't be read",
             &self.unreadable_parts,
         );
+        gauge(
+            "cold_endpoints",
+            "Registered endpoints that are cold",
+            &self.cold_endpoints,
+        );
         gauge("active_requests", "Requests under way", &self.active);
         gauge(
             "waiting_requests",
@@ -283,6 +298,14 @@
         self.notices.get_or_create(&NoticeLabels { notice }).inc();
     }
 
+    /// Counts a request to a cold endpoint that was about to be sent.
+    pub(crate) fn count_cold_send(&self, has_permit: bool) {
+        let result = if has_permit { "sent" } else { "denied" };
+        self.cold_sends
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
     /// Records the ratio of a complete answer's tokens to the estimate.
     pub(crate) fn note_estimate(&self, estimated: u64, generated: u32) {
         let ratio = f64::from(generated) / estimated.max(1) as f64;
@@ -307,6 +330,7 @@
         let stuck_for = gauges.stuck.map(|(_, _, time)| time).unwrap_or_default();
         self.stuck_seconds.set(stuck_for.as_secs_f64());
         self.unreadable_parts.set(gauges.unreadable_parts as u64);
+        self.cold_endpoints.set(gauges.cold_endpoints as u64);
         self.active.set(gauges.active as u64);
         self.waiting.set(gauges.waiting as u64);
         self.peers_known.set(gauges.peers_known as u64);
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Removes an endpoint from the excluded ones if the request was not sent because the endpoint is cold.
+    pub(crate) fn readmit_if_cold(&mut self, entry: &Entry, endpoint: &Endpoint) {
+        if entry.is_cold_denied(endpoint, Moment::now()) {
+            self.excluded.retain(|excluded| *excluded != endpoint.id);
+        }
+    }
+
     /// Whether the request may be sent again although its last attempt may have run.
     pub(crate) fn may_retry(&self, admitted: &Admitted) -> bool {
         admitted.route.kind.may_retry() && self.runs < admitted.route.max_attempts
@@ -146,6 +153,9 @@
         return AttemptOutcome::NotSent;
     }
     let sent_at = Moment::now();
+    if !entry.begin_send(endpoint, sent_at) {
+        return AttemptOutcome::NotSent;
+    }
     let sent = connection.send(request).await;
     classify(entry, admitted, endpoint, sent_at, sent)
 }
@@ -162,6 +172,7 @@
         return;
     }
     let now = Moment::now();
+    entry.note_cold_answer(endpoint, facts, now);
     let incarnation = endpoint.incarnation();
     let mut notices = entry.notices.borrow_mut();
     if facts.is_leaving && notices.note_leaving(incarnation, now) {
@@ -229,6 +240,7 @@
             return if entry.note_send_error(endpoint, admitted, sent_at, &error) {
                 AttemptOutcome::Failed
             } else {
+                entry.undo_send(endpoint, sent_at);
                 AttemptOutcome::NotSent
             };
         }
@@ -240,6 +252,7 @@
     if facts.has_not_run && is_for_request {
         let is_other_endpoint = answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_other_endpoint {
+            entry.undo_send(endpoint, sent_at);
             note_replaced(entry, endpoint);
         }
         tracing::debug!(
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -19,6 +19,7 @@
     clock::Moment,
     configuration::{Endpoint, Stage},
     connection_headers::remove_connection_headers,
+    endpoints::cold_limit::no_endpoint,
     entry::Entry,
     memory_pool::MemoryShare,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
@@ -70,7 +71,8 @@
 ) -> Result<Response<BoxedBody>, Refusal> {
     loop {
         let Some(endpoint) = next_endpoint(entry, admitted, progress).await? else {
-            return Err(progress.give_up(RequestEnd::NoEndpoint, TRANSIENT_RETRY_AFTER));
+            let (usual, retry_after) = (RequestEnd::NoEndpoint, TRANSIENT_RETRY_AFTER);
+            return Err(no_endpoint(entry, admitted, progress, usual, retry_after));
         };
         progress.check_harmless(entry, admitted)?;
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(Run::default()));
@@ -102,6 +104,7 @@
             }
             AttemptOutcome::NotSent => {
                 progress.readmit_if_held_off(entry, &endpoint);
+                progress.readmit_if_cold(entry, &endpoint);
                 progress.uncount_attempt(admitted);
                 continue;
             }
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -24,7 +24,7 @@
         refusal::Refusal,
         stream::CAPACITY_RETRY_AFTER,
     },
-    upstream::{self, Connection},
+    upstream::{Connection, SendError},
 };
 
 /// Timeout of a prefill call; a prefill usually takes a tenth of it.
@@ -138,9 +138,11 @@
                 suspicions.note_unresponsive(&endpoint.id, now);
             }
         }
-        // An endpoint that only asked for time may be asked again after it.
+        // An endpoint that only asked for time, or is cold, may be asked again after it.
+        let now = Moment::now();
         let notices = entry.notices.borrow();
-        if !notices.holds_off(endpoint.incarnation(), Moment::now()) {
+        if !notices.holds_off(endpoint.incarnation(), now) && !entry.is_cold_denied(&endpoint, now)
+        {
             excluded.push(endpoint.id.clone());
         }
     }
@@ -167,6 +169,7 @@
     }
     let sent_at = Moment::now();
     let sent = match connected {
+        Ok(_) if !entry.begin_send(endpoint, sent_at) => return PrefillOutcome::NotSent,
         Ok(connection) => connection.send(request).await,
         Err(error) => Err(error),
     };
@@ -177,12 +180,16 @@
             return if entry.note_send_error(endpoint, admitted, sent_at, &error) {
                 PrefillOutcome::Failed
             } else {
+                entry.undo_send(endpoint, sent_at);
                 PrefillOutcome::NotSent
             };
         }
     };
     let facts = (entry.dialect.answer_facts)(&answer.parts);
     note_answer_head(entry, endpoint, answer.parts.status, &facts);
+    if answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
+        entry.undo_send(endpoint, sent_at);
+    }
     let body = answer.body.collect(MAX_PREFILL_BYTES).await;
     let body = match body {
         Ok(body) => body,
@@ -234,9 +241,24 @@
     let task_entry = Rc::clone(entry);
     entry.tasks.spawn(async move {
         // If this fails, the cache expires at its endpoint.
-        let freeing = upstream::send(held.endpoint.address, request);
+        let freeing = async {
+            let connection = Connection::open(held.endpoint.address).await.ok()?;
+            let sent_at = Moment::now();
+            if !task_entry.begin_send(&held.endpoint, sent_at) {
+                return None;
+            }
+            let sent = connection.send(request).await;
+            let is_uncounted = match &sent {
+                Ok(answer) => answer.parts.status == StatusCode::MISDIRECTED_REQUEST,
+                Err(error) => matches!(error, SendError::NotSent { .. }),
+            };
+            if is_uncounted {
+                task_entry.undo_send(&held.endpoint, sent_at);
+            }
+            sent.ok()
+        };
         let freed = compio::time::timeout(Duration::from_secs(1), freeing).await;
-        if let Ok(Ok(answer)) = freed {
+        if let Ok(Some(answer)) = freed {
             let facts = (task_entry.dialect.answer_facts)(&answer.parts);
             note_answer_head(&task_entry, &held.endpoint, answer.parts.status, &facts);
         }
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -19,6 +19,7 @@
     configuration::{Endpoint, Stage},
     connection_headers::remove_connection_headers,
     endpoints::{
+        cold_limit::no_endpoint,
         poison::BEGUN_EVENTS,
         stall::{Pauses, has_stood_still},
     },
@@ -260,6 +261,7 @@
             }
             AttemptOutcome::NotSent => {
                 progress.readmit_if_held_off(entry, &placement.endpoint);
+                progress.readmit_if_cold(entry, &placement.endpoint);
                 progress.uncount_attempt(admitted);
             }
             AttemptOutcome::Failed => {
@@ -365,7 +367,8 @@
     }
     placement.ok_or_else(|| {
         let retry_after = retry_after_wait(Moment::now().since(since));
-        progress.give_up(RequestEnd::NoPlaceInTime, retry_after)
+        let usual = RequestEnd::NoPlaceInTime;
+        no_endpoint(entry, admitted, progress, usual, retry_after)
     })
 }
 
@@ -439,8 +442,10 @@
         local,
         &progress.excluded,
     );
-    let chosen = choose_plain(&candidates)
-        .ok_or_else(|| progress.give_up(RequestEnd::NoEndpoint, CAPACITY_RETRY_AFTER))?;
+    let chosen = choose_plain(&candidates).ok_or_else(|| {
+        let (usual, retry_after) = (RequestEnd::NoEndpoint, CAPACITY_RETRY_AFTER);
+        no_endpoint(entry, admitted, progress, usual, retry_after)
+    })?;
     Ok(Placement::new(
         entry,
         Rc::clone(&endpoints[chosen]),
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -429,6 +429,14 @@
     {
         tracing::warn!(event = "cold_time_unreadable", endpoint = %endpoint.id, value = &**value);
     }
+    if let Some(Ok(endpoint)) = &parsed
+        && entry
+            .registry
+            .borrow()
+            .is_newer(&endpoint.id, item.revision)
+    {
+        entry.note_cold_registration(endpoint, now);
+    }
     let change = match (parsed, endpoint_id(entry, &item.key)) {
         (Some(Ok(endpoint)), _) => entry
             .registry
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -24,6 +24,8 @@
     CrashesEndpoints,
     /// The endpoint answered with a failure.
     EndpointFailed,
+    /// Endpoints are cold, and this entry may send them nothing more at present.
+    EndpointsCold,
     /// All endpoints that were tried refused the request.
     EndpointsFull,
     /// All endpoints asked for no requests, for longer than the caller waits.
@@ -100,6 +102,9 @@
                 "endpoints crashed three times at the same point of the request, or before they began to answer others with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
             }
             Self::EndpointFailed => "the endpoint answered with a failure, which was forwarded",
+            Self::EndpointsCold => {
+                "endpoints of the service have just started and can sustain only few requests a second, of which this entry has no more at present, and no other endpoint had free capacity; endpoint_cold names them"
+            }
             Self::EndpointsFull => {
                 "each endpoint that was tried answered that it is full; the request has not run"
             }
