--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -44,8 +44,8 @@
 mod upstream_tests;
 
 pub use configuration::{
-    CallerLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service, Stage, Team,
-    UnreadableParts,
+    CallerLimits, ColdLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service,
+    Stage, Team, UnreadableParts,
 };
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -11,6 +11,7 @@
     clock::Moment,
     configuration::{Endpoint, Stage},
     dialect::AnswerFacts,
+    endpoints::cold_limit::no_endpoint,
     entry::Entry,
     metrics::Notice,
     names::EndpointName,
@@ -75,6 +76,13 @@
         }
     }
 
+    /// Removes an endpoint from the excluded ones if the request was not sent because the endpoint is cold.
+    pub(crate) fn readmit_if_cold(&mut self, entry: &Entry, endpoint: &Endpoint) {
+        if entry.is_cold_denied(endpoint, Moment::now()) {
+            self.excluded.retain(|excluded| *excluded != endpoint.id);
+        }
+    }
+
     /// Whether the request may be sent again although its last attempt may have run.
     pub(crate) fn may_retry(&self, admitted: &Admitted) -> bool {
         admitted.route.kind.may_retry() && self.runs < admitted.route.max_attempts
@@ -110,7 +118,7 @@
                 let retry_after = retry_after_evacuation(lasted);
                 self.give_up(RequestEnd::EndpointsEvacuated, retry_after)
             }
-            None => self.give_up(RequestEnd::NoEndpoint, usual),
+            None => no_endpoint(entry, admitted, self, RequestEnd::NoEndpoint, usual),
         }
     }
 
@@ -181,6 +189,9 @@
         return AttemptOutcome::NotSent;
     }
     let sent_at = Moment::now();
+    if !entry.begin_send(endpoint, sent_at) {
+        return AttemptOutcome::NotSent;
+    }
     let sent = connection.send(request).await;
     classify(entry, admitted, endpoint, sent_at, sent)
 }
@@ -197,6 +208,7 @@
         return;
     }
     let now = Moment::now();
+    entry.note_cold_answer(endpoint, facts, now);
     let incarnation = endpoint.incarnation();
     let mut notices = entry.notices.borrow_mut();
     if facts.is_leaving && notices.note_leaving(incarnation, now) {
@@ -264,6 +276,7 @@
             return if entry.note_send_error(endpoint, admitted, sent_at, &error) {
                 AttemptOutcome::Failed
             } else {
+                entry.undo_send(endpoint, sent_at);
                 AttemptOutcome::NotSent
             };
         }
@@ -275,6 +288,7 @@
     if facts.has_not_run && is_for_request {
         let is_other_endpoint = answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
         if is_other_endpoint {
+            entry.undo_send(endpoint, sent_at);
             note_replaced(entry, endpoint);
         }
         tracing::debug!(
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -103,6 +103,7 @@
             }
             AttemptOutcome::NotSent => {
                 progress.readmit_if_held_off(entry, &endpoint);
+                progress.readmit_if_cold(entry, &endpoint);
                 progress.uncount_attempt(admitted);
                 continue;
             }
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -19,6 +19,7 @@
     configuration::{Endpoint, Stage},
     connection_headers::remove_connection_headers,
     endpoints::{
+        cold_limit::no_endpoint,
         poison::BEGUN_EVENTS,
         stall::{Pauses, has_stood_still},
     },
@@ -264,6 +265,7 @@
             }
             AttemptOutcome::NotSent => {
                 progress.readmit_if_held_off(entry, &placement.endpoint);
+                progress.readmit_if_cold(entry, &placement.endpoint);
                 progress.uncount_attempt(admitted);
             }
             AttemptOutcome::Failed => {
@@ -371,7 +373,8 @@
     }
     placement.ok_or_else(|| {
         let retry_after = retry_after_wait(Moment::now().since(since));
-        progress.give_up(RequestEnd::NoPlaceInTime, retry_after)
+        let usual = RequestEnd::NoPlaceInTime;
+        no_endpoint(entry, admitted, progress, usual, retry_after)
     })
 }
 
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -26,6 +26,8 @@
     EndpointFailed,
     /// All endpoints of the service are in evacuated data centres.
     EndpointsEvacuated,
+    /// Endpoints are cold, and this entry may send them nothing more at present.
+    EndpointsCold,
     /// All endpoints that were tried refused the request.
     EndpointsFull,
     /// All endpoints asked for no requests, for longer than the caller waits.
@@ -105,6 +107,9 @@
             Self::EndpointsEvacuated => {
                 "all endpoints of the service are in evacuated data centres; evacuation_began names them, and Retry-After is how long the newest evacuation has lasted"
             }
+            Self::EndpointsCold => {
+                "endpoints of the service have just started and can sustain only few requests a second, of which this entry has no more at present, and no other endpoint had free capacity; endpoint_cold names them"
+            }
             Self::EndpointsFull => {
                 "each endpoint that was tried answered that it is full; the request has not run"
             }
