Choose a cold endpoint for no more requests than it may get

Callers would have seen: when several requests wait for a place and a cold decode endpoint has one permit, all are placed there and their prompts prefilled; one is sent, the others start over with a KV cache that expires.

Cause: the choice looked at what had been sent, not at what had been chosen.

Change: a request for which an endpoint of a service with a limit was chosen counts at the choice until it is sent, for 1.5 s at most.

--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -119,6 +119,7 @@
     /// Records work at an endpoint, and wakes the task that reports it to the peers.
     pub(crate) fn new(entry: &Rc<Entry>, endpoint: Rc<Endpoint>, work: Work) -> Self {
         let work = entry.loads.borrow_mut().begin(&endpoint.id, work);
+        entry.note_chosen(&endpoint);
         entry.work_changes.notify();
         let incarnation = endpoint.incarnation();
         let is_trial = entry.notices.borrow_mut().begin_trial(incarnation);
--- a/crates/camphorwall-direct/src/endpoints/cold_limit.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_limit.rs
@@ -75,12 +75,28 @@
 }
 
 impl ColdState {
-    /// Whether an endpoint may get a request.
+    /// Whether an endpoint may be chosen for a request, besides those for which it has been chosen already.
     pub(crate) fn warmth(
         &mut self,
         endpoint: &Endpoint,
         limit: Option<ColdLimit>,
         now: Moment,
+    ) -> Warmth {
+        let unsent = if limit.is_some() {
+            self.times.unsent(endpoint.incarnation(), now)
+        } else {
+            0
+        };
+        self.warmth_beside(unsent, endpoint, limit, now)
+    }
+
+    /// Whether an endpoint may get a request besides a number of others that are still to be sent.
+    fn warmth_beside(
+        &mut self,
+        unsent: usize,
+        endpoint: &Endpoint,
+        limit: Option<ColdLimit>,
+        now: Moment,
     ) -> Warmth {
         let Some(limit) = limit else {
             return Warmth::Warm;
@@ -95,7 +111,7 @@
         }
         self.split.note_wanted(now);
         let permits = self.split.permits(incarnation, limit.total, now) as usize;
-        if self.times.recent_sends(incarnation, now) < permits {
+        if self.times.recent_sends(incarnation, now) + unsent < permits {
             Warmth::Cold
         } else {
             Warmth::Denied
@@ -132,6 +148,16 @@
         cold.warmth(endpoint, limit, now) == Warmth::Denied
     }
 
+    /// Counts a request for which an endpoint was chosen. Without it, all requests that wait for a place would be given
+    /// one at a cold endpoint with a single permit, and their prompts be prefilled for nothing.
+    pub(crate) fn note_chosen(&self, endpoint: &Endpoint) {
+        if self.cold_limit(&endpoint.service).is_some() {
+            let mut cold = self.cold.borrow_mut();
+            cold.times
+                .count_choice(endpoint.incarnation(), Moment::now());
+        }
+    }
+
     /// Counts a request that is about to be sent; returns whether it may be. Every send needs it, also one that isn't a
     /// caller's.
     pub(crate) fn begin_send(&self, endpoint: &Endpoint, now: Moment) -> bool {
@@ -139,7 +165,8 @@
             return true;
         };
         let mut cold = self.cold.borrow_mut();
-        let warmth = cold.warmth(endpoint, Some(limit), now);
+        cold.times.end_choice(endpoint.incarnation());
+        let warmth = cold.warmth_beside(0, endpoint, Some(limit), now);
         if warmth != Warmth::Warm {
             self.metrics.count_cold_send(warmth == Warmth::Cold);
         }
--- a/crates/camphorwall-direct/src/endpoints/cold_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_tests.rs
@@ -280,3 +280,32 @@
     println!("{bytes} bytes");
     assert!((300..700).contains(&bytes), "{bytes}");
 }
+
+/// Guards against prompts that are prefilled for requests that are then not sent, for want of a permit.
+#[test]
+fn a_cold_endpoint_is_chosen_for_as_many_requests_as_it_may_get() {
+    let (entry, cold, _) = entry(Some(LIMITS));
+    let now = settled(&entry, &cold);
+    let is_denied = || entry.is_cold_denied(&cold, now);
+    let choose = |at| {
+        let mut state = entry.cold.borrow_mut();
+        state.times.count_choice(cold.incarnation(), at);
+    };
+    choose(now);
+    assert!(!is_denied());
+    choose(now);
+    assert!(is_denied());
+    assert!(
+        entry.begin_send(&cold, now),
+        "its own choice counts against it"
+    );
+    assert!(is_denied());
+    assert!(entry.begin_send(&cold, now));
+    // A choice that comes to nothing counts for a while only.
+    let later = now + seconds(3);
+    choose(later);
+    choose(later);
+    assert!(entry.is_cold_denied(&cold, later));
+    entry.report_cold(later + seconds(2));
+    assert!(!entry.is_cold_denied(&cold, later + seconds(2)));
+}
--- a/crates/camphorwall-direct/src/endpoints/cold_times.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_times.rs
@@ -16,6 +16,10 @@
 /// Time for which an answer's cold time is reported to the peers; each full heartbeat of that time carries it.
 const REPORT_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after which a request for which an endpoint was chosen no longer counts as one that will be sent: a prefill call
+/// before it is given up earlier.
+const CHOICE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Maximum number of cold times in one heartbeat.
 const MAX_REPORTS: usize = 32;
 
@@ -53,6 +57,8 @@
     answered_at: Option<Moment>,
     /// Requests that may have arrived, by the time at which they were sent.
     sent: VecDeque<Moment>,
+    /// Requests for which the endpoint was chosen and that have not been sent, by the time of the choice.
+    chosen: VecDeque<Moment>,
     is_logged_cold: bool,
     has_unreadable_time: bool,
 }
@@ -96,6 +102,7 @@
             said_at: now,
             answered_at: None,
             sent: VecDeque::new(),
+            chosen: VecDeque::new(),
             is_logged_cold: false,
             has_unreadable_time: false,
         });
@@ -186,6 +193,34 @@
         })
     }
 
+    /// Requests for which the endpoint was chosen and that are still to be sent.
+    pub(crate) fn unsent(&self, incarnation: EndpointIncarnation, now: Moment) -> usize {
+        let state = self.0.get(&incarnation);
+        state.map_or(0, |state| {
+            let chosen = state.chosen.iter();
+            chosen.filter(|at| now.since(**at) < CHOICE_TIME).count()
+        })
+    }
+
+    /// Counts a request for which the endpoint was chosen.
+    pub(crate) fn count_choice(&mut self, incarnation: EndpointIncarnation, now: Moment) {
+        if let Some(state) = self.0.get_mut(&incarnation) {
+            while let Some(first) = state.chosen.front()
+                && now.since(*first) >= CHOICE_TIME
+            {
+                state.chosen.pop_front();
+            }
+            state.chosen.push_back(now);
+        }
+    }
+
+    /// Uncounts a request for which the endpoint was chosen, since it is sent or given up now.
+    pub(crate) fn end_choice(&mut self, incarnation: EndpointIncarnation) {
+        if let Some(state) = self.0.get_mut(&incarnation) {
+            state.chosen.pop_front();
+        }
+    }
+
     /// When the oldest request that still counts no longer does.
     pub(crate) fn next_send_at(
         &self,
