Read the load that endpoints state and the sizes of prompt parts

Callers saw nothing of this yet: the head of each answer states what runs and waits at the endpoint and, for some services, how long work takes there at the moment, and entries dropped it. They also dropped the tokens of each part of a prompt. Cause: the adapter did not parse either field.

`AnswerFacts.load` holds the three or four figures, separated by commas or spaces. A negative, fractional or missing count, a count above 1,000,000 and a pace outside 1 to 10,000 percent make it an unreadable load, whose text is kept for the log. `RequestFacts.prompt_parts` holds all parts with their tokens, up to the first one without a number, since a part is of use only with all those before it.

--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -115,6 +115,8 @@
     pub max_output_tokens: Option<u64>,
     /// Parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<PromptPart>,
+    /// All parts of the prompt with their tokens, in order, up to the first whose tokens can't be read.
+    pub prompt_parts: Vec<SizedPart>,
     /// The caller's estimate of the answer's tokens.
     pub output_estimate_tokens: Option<u64>,
     /// Last event that the caller has received, when it resumes a stream.
@@ -127,6 +129,15 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PromptPart(pub u64);
 
+/// A part of a prompt with its size.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SizedPart {
+    /// Name of the part.
+    pub part: PromptPart,
+    /// Tokens of the part.
+    pub tokens: u32,
+}
+
 impl fmt::Display for PromptPart {
     fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
         write!(formatter, "{:x}", self.0)
@@ -167,6 +178,22 @@
     pub is_leaving: bool,
     /// Time for which the endpoint wants no requests; a text that gives none is kept for the log.
     pub retry_after: Option<Result<Duration, Box<str>>>,
+    /// Load that the endpoint states; a text that states none is kept for the log.
+    pub load: Option<Result<StatedLoad, Box<str>>>,
+}
+
+/// Load that an endpoint states in the head of an answer. It is a claim, which may be outdated or wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StatedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait at the endpoint.
+    pub waiting: u32,
+    /// Requests that the endpoint runs at once.
+    pub slots: u32,
+    /// How long work takes at present, in percent of what it usually takes on that machine; endpoints of some services
+    /// state it.
+    pub pace_percent: Option<u32>,
 }
 
 /// A page of the store's items.
