Choose endpoints by expected times

What callers saw: choices counted tokens and slots as if all endpoints had the same speed. Engines differ by more than two to one, and at any moment some machines are 2.5 times as slow for some hundred ms, so the first token came later than necessary.

Cause: nothing was learned of the speed of an endpoint, and the pace that endpoints state was not used.

Change: `balance/speeds.rs` learns from answers a line for each pool (usual time by size of the work) and a slowness for each start of an endpoint (mean logarithm over the usual time, memory of 10 s, weighted by time so that a slow period of 600 ms counts by its duration). A stated pace and stated unknown work only add to the expected time and age out within 300 and 500 ms. Entries report their observations in heartbeats, 16 endpoints at most, each once, with its age. `choose_prefill`, `choose_decode` and `choose_plain` compare expected milliseconds; a decode still has to fit by its forecast peak. In effect for a service while its endpoints state the fourth figure (seen within 10 s) or with `"expected_times": true`. Otherwise nothing is learned or reported, and the scores are the former ones. The line `request_ended` gets expected and actual times, and `camphorwall_direct_expected_time_ratio` counts their ratio.

--- a/crates/camphorwall-direct/src/balance/choice.rs
+++ b/crates/camphorwall-direct/src/balance/choice.rs
@@ -1,6 +1,6 @@
 //! Chooses the endpoint that gets a request, by pure functions over the state of the candidates.
 
-use crate::balance::loads::Run;
+use crate::balance::{loads::Run, speeds::ExpectedSpeed};
 
 /// State of one candidate endpoint.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +15,8 @@
     pub(crate) is_unreachable: bool,
     /// Share of its requests that failed recently.
     pub(crate) expected_loss: f64,
+    /// Its expected speed, where choices compare expected times.
+    pub(crate) speed: Option<ExpectedSpeed>,
 }
 
 /// Penalty on a decode endpoint in another data centre, as a share of its capacity.
@@ -36,6 +38,30 @@
 /// Penalty on a plain endpoint that fails every request, as a share of its slots.
 const PLAIN_FAILURE_PENALTY: f64 = 2.0;
 
+/// Penalties on an endpoint that fails every request, as multiples of the usual time of the request. The caller of a
+/// lost stream loses all that it got; a lost prefill or plain call is sent again at least once.
+const DECODE_FAILURE_TIMES: f64 = 5.0;
+const PLAIN_FAILURE_TIMES: f64 = 10.0;
+
+/// Penalties on an endpoint in another data centre, as shares of the usual time of the request.
+const REMOTE_DECODE_TIME: f64 = 0.03;
+const REMOTE_PLAIN_TIME: f64 = 0.1;
+
+/// Added time of a decode run on an engine whose KV cache will be filled completely, as a share of the usual time. A run
+/// that outlasts its forecast there causes a preemption.
+const FULL_CACHE_TIME: f64 = 0.1;
+
+/// Added time of a plain call on an endpoint that it fills, as a share of the usual time. Calls of other entries, which
+/// are known some milliseconds later, would wait there.
+const FULL_SLOTS_TIME: f64 = 0.4;
+
+/// Ratio up to which expected times count as alike. Entries that share their observations would all choose the endpoint
+/// that is a little faster, before they know of each other's placements.
+const ALIKE_TIMES: f64 = 1.1;
+
+/// Share of a queue's first piece of work that is done already, on average.
+const BEGUN_SHARE: f64 = 0.5;
+
 /// How far the forecast of its runs may fill an engine's KV cache.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FillLimit {
@@ -92,13 +118,18 @@
         // An estimate may exceed the capacity of any endpoint; such a run is safest alone on an idle one.
         let fits =
             peak + fill_limit.length_margin * left <= fill_limit.share || candidate.runs.is_empty();
+        if !has_slot || !fits {
+            return None;
+        }
+        if let Some(speed) = &candidate.speed {
+            return Some(decode_time_ms(candidate, speed, run, peak));
+        }
         let penalty = if candidate.is_near {
             0.0
         } else {
             REMOTE_DECODE_PENALTY
         };
-        (has_slot && fits)
-            .then_some(peak + penalty + DECODE_FAILURE_PENALTY * candidate.expected_loss)
+        Some(peak + penalty + DECODE_FAILURE_PENALTY * candidate.expected_loss)
     };
     lowest_score(candidates, score)
 }
@@ -107,6 +138,9 @@
 #[must_use]
 pub(crate) fn choose_prefill(candidates: &[Candidate], prompt_tokens: u32) -> Option<usize> {
     let score = |candidate: &Candidate| {
+        if let Some(speed) = &candidate.speed {
+            return Some(prefill_score_ms(candidate, speed, prompt_tokens));
+        }
         let waiting: u64 = candidate
             .runs
             .iter()
@@ -127,6 +161,9 @@
 #[must_use]
 pub(crate) fn choose_plain(candidates: &[Candidate]) -> Option<usize> {
     let score = |candidate: &Candidate| {
+        if let Some(speed) = &candidate.speed {
+            return Some(plain_score_ms(candidate, speed));
+        }
         let load = candidate.runs.len() as f64 / f64::from(candidate.slots.max(1));
         let remote = if candidate.is_near {
             0.0
@@ -138,6 +175,121 @@
     lowest_score(candidates, score)
 }
 
+/// Time by which a run makes the decode work of a service longer: its own, and what its tokens add to the steps of the
+/// runs beside it.
+fn decode_time_ms(candidate: &Candidate, speed: &ExpectedSpeed, run: Run, peak: f64) -> f64 {
+    let tokens = f64::from(run.left_tokens.max(1));
+    let usual = tokens * speed.usual.at(1.0);
+    let runs = candidate.runs.len() as f64 + speed.unknown_runs;
+    let own = speed.time_ms(tokens * speed.usual.at(runs + 1.0));
+    let shared_tokens: f64 = candidate
+        .runs
+        .iter()
+        .map(|other| f64::from(other.left_tokens).min(tokens))
+        .sum();
+    let others = shared_tokens * speed.usual.slope_ms * speed.slowness;
+    let remote = if candidate.is_near {
+        0.0
+    } else {
+        REMOTE_DECODE_TIME
+    };
+    let penalty = remote + DECODE_FAILURE_TIMES * candidate.expected_loss + FULL_CACHE_TIME * peak;
+    own + others + usual * penalty
+}
+
+/// Tokens that a prefill endpoint has to read before a prompt is done.
+///
+/// The endpoint's cache of the prompt's first parts shortens its own work only. What waits before it is counted in full,
+/// so that a part that many prompts share does not draw all of them to one endpoint.
+pub(crate) fn prefill_work(candidate: &Candidate, prompt_tokens: u32) -> f64 {
+    let held = candidate
+        .speed
+        .as_ref()
+        .map_or(0, |speed| speed.held_tokens);
+    let unknown_runs = candidate.speed.map_or(0.0, |speed| speed.unknown_runs);
+    let runs = &candidate.runs;
+    let queued: f64 = runs.iter().map(|run| f64::from(run.held_tokens)).sum();
+    let begun = queued / runs.len().max(1) as f64 * BEGUN_SHARE;
+    let unknown = unknown_runs * f64::from(prompt_tokens);
+    queued - begun + unknown + f64::from(prompt_tokens.saturating_sub(held))
+}
+
+fn prefill_score_ms(candidate: &Candidate, speed: &ExpectedSpeed, prompt_tokens: u32) -> f64 {
+    let remote = if candidate.is_near {
+        0.0
+    } else {
+        f64::from(prompt_tokens) * REMOTE_PREFILL_PENALTY
+    };
+    let failing = candidate.expected_loss * PREFILL_FAILURE_PENALTY_TOKENS;
+    prefill_time_ms(candidate, speed, prompt_tokens) + (remote + failing) * speed.usual.slope_ms
+}
+
+/// Expected time of a prefill, its wait included.
+fn prefill_time_ms(candidate: &Candidate, speed: &ExpectedSpeed, prompt_tokens: u32) -> f64 {
+    speed.time_ms(speed.usual.at(prefill_work(candidate, prompt_tokens)))
+}
+
+/// Load of a plain endpoint with one more call, as a share of its slots.
+fn plain_load(candidate: &Candidate) -> f64 {
+    let unknown_runs = candidate.speed.map_or(0.0, |speed| speed.unknown_runs);
+    (candidate.runs.len() as f64 + unknown_runs + 1.0) / f64::from(candidate.slots.max(1))
+}
+
+/// Usual time of a plain call at a load. Calls beyond the slots wait for those before them.
+fn usual_plain_ms(speed: &ExpectedSpeed, load: f64) -> f64 {
+    speed.usual.at(load.min(1.0)) * load.max(1.0)
+}
+
+fn plain_score_ms(candidate: &Candidate, speed: &ExpectedSpeed) -> f64 {
+    let remote = if candidate.is_near {
+        0.0
+    } else {
+        REMOTE_PLAIN_TIME
+    };
+    let contended = FULL_SLOTS_TIME * plain_load(candidate).powi(4);
+    let penalty = remote + PLAIN_FAILURE_TIMES * candidate.expected_loss + contended;
+    plain_time_ms(candidate, speed) + penalty * speed.usual.at(1.0)
+}
+
+fn plain_time_ms(candidate: &Candidate, speed: &ExpectedSpeed) -> f64 {
+    speed.time_ms(usual_plain_ms(speed, plain_load(candidate)))
+}
+
+/// What a choice expects of the work that it places, to be compared with its actual time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Expectation {
+    /// Size of the work in the units of its pool.
+    pub(crate) size: f64,
+    /// Actual times are divided by this to get the time of work of that size.
+    pub(crate) waves: f64,
+    pub(crate) time_ms: f64,
+    /// Tokens of the prompt that need no prefill.
+    pub(crate) held_tokens: u32,
+}
+
+/// What is expected of a prefill at a candidate, where choices compare expected times.
+pub(crate) fn expect_prefill(candidate: &Candidate, prompt_tokens: u32) -> Option<Expectation> {
+    let speed = candidate.speed.as_ref()?;
+    Some(Expectation {
+        size: prefill_work(candidate, prompt_tokens),
+        waves: 1.0,
+        time_ms: prefill_time_ms(candidate, speed, prompt_tokens),
+        held_tokens: speed.held_tokens.min(prompt_tokens),
+    })
+}
+
+/// What is expected of a plain call at a candidate, where choices compare expected times.
+pub(crate) fn expect_plain(candidate: &Candidate) -> Option<Expectation> {
+    let speed = candidate.speed.as_ref()?;
+    let load = plain_load(candidate);
+    Some(Expectation {
+        size: load.min(1.0),
+        waves: load.max(1.0),
+        time_ms: plain_time_ms(candidate, speed),
+        held_tokens: 0,
+    })
+}
+
 /// The candidate with the lowest score. Unreachable ones are considered only if all are unreachable.
 fn lowest_score(
     candidates: &[Candidate],
@@ -149,7 +301,14 @@
         .enumerate()
         .filter(|(_, candidate)| !(is_any_reachable && candidate.is_unreachable))
         .filter_map(|(index, candidate)| Some((index, score(candidate)?)));
-    scored
-        .min_by(|(_, a), (_, b)| a.total_cmp(b))
-        .map(|(index, _)| index)
+    let scored: Vec<_> = scored.collect();
+    let (best, lowest) = *scored.iter().min_by(|(_, a), (_, b)| a.total_cmp(b))?;
+    if candidates[best].speed.is_none() {
+        return Some(best);
+    }
+    // The candidates come in random order.
+    let mut alike = scored
+        .iter()
+        .filter(|(_, time_ms)| *time_ms <= lowest * ALIKE_TIMES);
+    alike.next().map(|(index, _)| *index)
 }
--- a/crates/camphorwall-direct/src/balance/loads.rs
+++ b/crates/camphorwall-direct/src/balance/loads.rs
@@ -196,6 +196,15 @@
         self.peers.remove(&incarnation);
     }
 
+    /// Number of pieces of work under way at an endpoint.
+    pub(crate) fn count_at(&self, endpoint: &EndpointName) -> usize {
+        let key = endpoint_key(endpoint);
+        let local = self.local.values().map(|(endpoint, _)| *endpoint);
+        let from_peers = self.peers.values().flat_map(HashMap::values);
+        let from_peers = from_peers.map(|(endpoint, _)| *endpoint);
+        local.chain(from_peers).filter(|at| *at == key).count()
+    }
+
     /// Work under way by endpoint, under the keys of [`endpoint_key`].
     pub(crate) fn by_endpoint(&self) -> HashMap<u64, Vec<Run>> {
         let local = self.local.values();
--- a/crates/camphorwall-direct/src/balance/mod.rs
+++ b/crates/camphorwall-direct/src/balance/mod.rs
@@ -5,10 +5,13 @@
 pub(crate) mod loads;
 pub(crate) mod placement;
 pub(crate) mod return_queue;
+pub(crate) mod speeds;
 
 #[cfg(test)]
 mod choice_tests;
 #[cfg(test)]
+mod expected_times_tests;
+#[cfg(test)]
 mod lengths_tests;
 #[cfg(test)]
 mod loads_tests;
@@ -16,3 +19,5 @@
 mod placement_tests;
 #[cfg(test)]
 mod return_queue_tests;
+#[cfg(test)]
+mod speeds_tests;
--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -300,6 +300,8 @@
     let loads = entry.loads.borrow();
     let suspicions = entry.suspicions.borrow();
     let notices = entry.notices.borrow();
+    let speeds = entry.speeds.borrow();
+    let compares_times = speeds.is_in_effect(service, entry.settings().expected_times, now);
     let mut endpoints: Vec<_> = registry
         .endpoints(service, stage, now)
         .filter(|endpoint| {
@@ -319,6 +321,7 @@
             is_near: endpoint.data_centre == *near,
             is_unreachable: suspicions.is_unreachable(&endpoint.id, now),
             expected_loss: suspicions.expected_loss(&endpoint.id, now),
+            speed: compares_times.then(|| speeds.expected(endpoint, now)),
         })
         .collect();
     (endpoints, candidates)
--- a/crates/camphorwall-direct/src/documentation_tests.rs
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -11,7 +11,7 @@
 use strum::IntoEnumIterator as _;
 
 use crate::{
-    configuration::RouteKind,
+    configuration::{RouteKind, Stage},
     metrics::{GaugeValues, Metrics, Notice, Phase},
 };
 
@@ -84,6 +84,7 @@
     metrics.note_phase(RouteKind::Idempotent, Phase::Whole, Duration::ZERO);
     metrics.count_retry(true);
     metrics.count_notice(Notice::Leaving);
+    metrics.note_expected_time(Stage::Prefill, 1.0, 1.0);
     let text = metrics.text(GaugeValues::default());
     let named = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
     let named = named.filter_map(|line| line.split_whitespace().next());
--- a/crates/camphorwall-direct/src/emulator_tests.rs
+++ b/crates/camphorwall-direct/src/emulator_tests.rs
@@ -337,6 +337,7 @@
             is_near: true,
             is_unreachable: engine.is_lost,
             expected_loss: 0.0,
+            ..Candidate::default()
         };
         self.decode.iter().map(candidate).collect()
     }
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::{
     balance::{
         lengths::LengthModel, loads::Loads, placement::PlacementQueue, return_queue::ReturnQueue,
+        speeds::Speeds,
     },
     clock::Moment,
     configuration::{Endpoint, RouteKind},
@@ -111,6 +112,7 @@
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
     pub(crate) loads: RefCell<Loads>,
+    pub(crate) speeds: RefCell<Speeds>,
     pub(crate) suspicions: RefCell<Suspicions>,
     pub(crate) notices: RefCell<Notices>,
     pub(crate) return_queue: ReturnQueue,
@@ -204,6 +206,7 @@
             retries: RefCell::new(RetryBudget::new(bounds)),
             lengths: RefCell::default(),
             loads: RefCell::default(),
+            speeds: RefCell::default(),
             suspicions: RefCell::default(),
             notices: RefCell::default(),
             return_queue: ReturnQueue::default(),
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -10,6 +10,7 @@
     balance::{
         loads::ReportedWork,
         placement::{QueueRank, ReportedWaiter},
+        speeds::ReportedSpeed,
     },
     clock::Moment,
     contract::quota::ReportedAccount,
@@ -79,6 +80,8 @@
     pub(crate) leaving: Vec<ReportedLeaving>,
     /// Requests that may have crashed endpoints.
     pub(crate) suspects: Vec<ReportedSuspect>,
+    /// Speeds of endpoints that were observed since they were last reported.
+    pub(crate) speeds: Vec<ReportedSpeed>,
 }
 
 #[derive(Debug)]
@@ -366,6 +369,7 @@
             waiting: entry.placement_queue.report_waiters(now),
             leaving: entry.notices.borrow_mut().report(now),
             suspects: entry.poison.borrow_mut().report(now),
+            speeds: entry.speeds.borrow_mut().report(now),
         };
         (addresses, heartbeat)
     };
@@ -474,6 +478,7 @@
     let mut suspicions = entry.suspicions.borrow_mut();
     suspicions.note_peer(&heartbeat.results, now);
     drop(suspicions);
+    entry.speeds.borrow_mut().note_peer(&heartbeat.speeds, now);
     let share = entry.quota_share(now);
     let mut quotas = entry.quotas.borrow_mut();
     quotas.note_peer(heartbeat.incarnation, heartbeat.accounts, share, now);
--- a/crates/camphorwall-direct/src/fleet/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -182,6 +182,7 @@
         waiting: Vec::new(),
         leaving: Vec::new(),
         suspects: Vec::new(),
+        speeds: Vec::new(),
     };
     postcard::to_stdvec(&heartbeat).expect("a heartbeat").len()
 }
@@ -212,6 +213,7 @@
         waiting,
         leaving: Vec::new(),
         suspects: Vec::new(),
+        speeds: Vec::new(),
     }
 }
 
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -17,7 +17,10 @@
 };
 use strum::{IntoEnumIterator as _, IntoStaticStr};
 
-use crate::{configuration::RouteKind, dialect::UnreadableReason};
+use crate::{
+    configuration::{RouteKind, Stage},
+    dialect::UnreadableReason,
+};
 
 /// Content type of `OpenMetrics` text.
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -47,6 +50,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct StageLabels {
+    stage: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ResultLabels {
     result: &'static str,
@@ -102,6 +110,7 @@
     retries: Family<ResultLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
     estimate_errors: Histogram,
+    expected_time_errors: Family<StageLabels, Histogram>,
     configuration_version: Gauge<u64, AtomicU64>,
     keys_proof_age: Gauge<f64, AtomicU64>,
     configuration_outdated: Gauge<f64, AtomicU64>,
@@ -121,6 +130,11 @@
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
 }
 
+fn ratio_histogram() -> Histogram {
+    // Ratios from 1/16 to 16.
+    Histogram::new(exponential_buckets(0.0625, 2.0, 9))
+}
+
 fn kind_label(kind: Option<RouteKind>) -> &'static str {
     match kind {
         None => "none",
@@ -138,8 +152,8 @@
             phases: Family::new_with_constructor(phase_histogram),
             retries: Family::default(),
             notices: Family::default(),
-            // Ratios of actual to estimated tokens, from 1/16 to 16.
-            estimate_errors: Histogram::new(exponential_buckets(0.0625, 2.0, 9)),
+            estimate_errors: ratio_histogram(),
+            expected_time_errors: Family::new_with_constructor(ratio_histogram),
             configuration_version: Gauge::default(),
             keys_proof_age: Gauge::default(),
             configuration_outdated: Gauge::default(),
@@ -186,6 +200,11 @@
             "Generated tokens over the estimate at placement",
             self.estimate_errors.clone(),
         );
+        registry.register(
+            "expected_time_ratio",
+            "Actual over expected time of work, by stage, where choices compare expected times",
+            self.expected_time_errors.clone(),
+        );
         let mut gauge = |name: &str, help: &str, gauge: &Gauge<u64, AtomicU64>| {
             registry.register(name, help, gauge.clone());
         };
@@ -289,6 +308,18 @@
         self.estimate_errors.observe(ratio);
     }
 
+    /// Records the ratio of the actual time of work to the one that its choice expected.
+    pub(crate) fn note_expected_time(&self, stage: Stage, expected_ms: f64, actual_ms: f64) {
+        let stage = match stage {
+            Stage::Prefill => "prefill",
+            Stage::Decode => "decode",
+            Stage::Whole => "whole",
+        };
+        self.expected_time_errors
+            .get_or_create(&StageLabels { stage })
+            .observe(actual_ms / expected_ms.max(1e-3));
+    }
+
     /// Encodes all metrics as text.
     pub(crate) fn text(&self, gauges: GaugeValues) -> String {
         self.configuration_version.set(gauges.configuration_version);
--- a/crates/camphorwall-direct/src/request_log.rs
+++ b/crates/camphorwall-direct/src/request_log.rs
@@ -49,6 +49,10 @@
     pub(crate) prefill: Cell<Duration>,
     pub(crate) prefill_endpoint: RefCell<Option<EndpointName>>,
     pub(crate) endpoint: RefCell<Option<EndpointName>>,
+    /// Expected and actual milliseconds of the prefill or plain call, where choices compare expected times.
+    pub(crate) expected_time: Cell<Option<(f64, f64)>>,
+    /// The same for one generated token.
+    pub(crate) expected_token_time: Cell<Option<(f64, f64)>>,
     /// Time from the arrival to the head of the answer.
     pub(crate) time_to_head: Cell<Option<Duration>>,
     /// Attempts that may have run, and attempts that endpoints refused.
@@ -77,6 +81,8 @@
             prefill: Cell::default(),
             prefill_endpoint: RefCell::default(),
             endpoint: RefCell::default(),
+            expected_time: Cell::default(),
+            expected_token_time: Cell::default(),
             time_to_head: Cell::default(),
             runs: Cell::default(),
             refusals: Cell::default(),
@@ -135,6 +141,8 @@
                 .map(ToString::to_string)
                 .unwrap_or_default()
         };
+        let expected = |times: &Cell<Option<(f64, f64)>>| times.get().map(|(expected, _)| expected);
+        let actual = |times: &Cell<Option<(f64, f64)>>| times.get().map(|(_, actual)| actual);
         let is_answered = outcome == RequestEnd::Answered;
         macro_rules! write_event {
             ($level:ident) => {
@@ -154,6 +162,10 @@
                     prefill_ms = ms(self.prefill.get()),
                     prefill_endpoint = name(&self.prefill_endpoint),
                     endpoint = name(&self.endpoint),
+                    expected_ms = expected(&self.expected_time),
+                    actual_ms = actual(&self.expected_time),
+                    expected_token_ms = expected(&self.expected_token_time),
+                    actual_token_ms = actual(&self.expected_token_time),
                     runs = self.runs.get(),
                     refusals = self.refusals.get(),
                     first_ms = self.time_to_head.get().map(|time| time.as_secs_f64() * 1e3),
--- a/crates/camphorwall-direct/src/serve/mod.rs
+++ b/crates/camphorwall-direct/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Serves one caller's request from an endpoint, from its placement to the last byte.
 
+pub(crate) mod decode_timer;
 pub(crate) mod events;
 pub(crate) mod outcome;
 pub(crate) mod plain;
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -7,7 +7,7 @@
 use http::{Request, StatusCode, header};
 
 use crate::{
-    balance::return_queue::reject_hopeless,
+    balance::{choice::Expectation, return_queue::reject_hopeless, speeds::ms},
     clock::Moment,
     configuration::Endpoint,
     dialect::AnswerFacts,
@@ -19,6 +19,9 @@
     upstream::{Answer, Connection, SendError},
 };
 
+/// Maximum number of characters of an unreadable load that are logged.
+const MAX_LOGGED_CHARS: usize = 64;
+
 /// The attempts that one request has made so far.
 #[derive(Clone, Default)]
 pub(crate) struct Progress {
@@ -163,6 +166,7 @@
     }
     let now = Moment::now();
     let incarnation = endpoint.incarnation();
+    note_stated_load(entry, endpoint, facts, now);
     let mut notices = entry.notices.borrow_mut();
     if facts.is_leaving && notices.note_leaving(incarnation, now) {
         tracing::info!(event = "endpoint_leaving", endpoint = %endpoint.id, status = status.as_u16());
@@ -202,6 +206,50 @@
     }
 }
 
+/// Records how long work took since a moment, beside what its choice expected. Choices that did not compare expected times
+/// have no expectation.
+pub(crate) fn note_actual_time(
+    entry: &Entry,
+    admitted: &Admitted,
+    endpoint: &Endpoint,
+    expectation: Option<Expectation>,
+    since: Moment,
+) {
+    let Some(expected) = expectation else { return };
+    let now = Moment::now();
+    let time = now.since(since);
+    let mut speeds = entry.speeds.borrow_mut();
+    speeds.observe(endpoint, expected.size, time.div_f64(expected.waves), now);
+    admitted
+        .request_log
+        .expected_time
+        .set(Some((expected.time_ms, ms(time))));
+    entry
+        .metrics
+        .note_expected_time(endpoint.stage, expected.time_ms, ms(time));
+}
+
+/// Records the load that an endpoint states of itself.
+fn note_stated_load(entry: &Entry, endpoint: &Endpoint, facts: &AnswerFacts, now: Moment) {
+    let mut speeds = entry.speeds.borrow_mut();
+    match &facts.load {
+        Some(Ok(stated)) => {
+            let setting = entry.settings().expected_times;
+            let has_use = setting.unwrap_or(stated.pace_percent.is_some())
+                || speeds.is_in_effect(&endpoint.service, setting, now);
+            if has_use {
+                let known_runs = entry.loads.borrow().count_at(&endpoint.id);
+                speeds.note_load(endpoint, *stated, known_runs, now);
+            }
+        }
+        Some(Err(text)) if speeds.note_unreadable_load(endpoint, now) => {
+            let text: String = text.chars().take(MAX_LOGGED_CHARS).collect();
+            tracing::info!(event = "load_unreadable", endpoint = %endpoint.id, text);
+        }
+        Some(Err(_)) | None => {}
+    }
+}
+
 /// Whether an answer belongs to the request; one without an id does, as its connection served nothing else.
 pub(crate) fn is_for_request(facts: &AnswerFacts, admitted: &Admitted) -> bool {
     match (&facts.request_id, &admitted.facts.request_id) {
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -1,6 +1,6 @@
 //! Serves a request whose answer is not a stream.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use camphorwall::{BoxedBody, RequestEnd, full_body, stream_body};
@@ -11,7 +11,7 @@
 
 use crate::{
     balance::{
-        choice::choose_plain,
+        choice::{Expectation, choose_plain, expect_plain},
         loads::{Run, Work},
         placement::{Placement, candidates},
         return_queue::{choose_in_turn, retry_after_refusals},
@@ -23,7 +23,7 @@
     memory_pool::MemoryShare,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     serve::{
-        outcome::{AttemptOutcome, Progress, attempt},
+        outcome::{AttemptOutcome, Progress, attempt, note_actual_time},
         refusal::Refusal,
     },
     upstream::{Answer, AnswerBody},
@@ -68,8 +68,10 @@
     admitted: &Rc<Admitted>,
     progress: &mut Progress,
 ) -> Result<Response<BoxedBody>, Refusal> {
+    let expectation = Cell::new(None);
     loop {
-        let Some(endpoint) = next_endpoint(entry, admitted, progress).await? else {
+        let next = next_endpoint(entry, admitted, progress, &expectation);
+        let Some(endpoint) = next.await? else {
             return Err(progress.give_up(RequestEnd::NoEndpoint, TRANSIENT_RETRY_AFTER));
         };
         progress.check_harmless(entry, admitted)?;
@@ -85,9 +87,16 @@
         let failure = match outcome {
             AttemptOutcome::Answered(answer) => {
                 let is_failure = answer.parts.status.is_server_error();
+                let is_success = answer.parts.status.is_success();
                 match deliver(entry, admitted, placement, answer, sent_at).await {
                     Ok(delivery) if is_failure && can_retry => Some(delivery),
-                    Ok(delivery) => return Ok(delivery.finish(admitted)),
+                    Ok(delivery) => {
+                        if is_success && delivery.is_complete {
+                            let expected = expectation.get();
+                            note_actual_time(entry, admitted, &endpoint, expected, sent_at);
+                        }
+                        return Ok(delivery.finish(admitted));
+                    }
                     Err(_) => None,
                 }
             }
@@ -153,13 +162,16 @@
     entry: &Rc<Entry>,
     admitted: &Admitted,
     progress: &Progress,
+    expectation: &Cell<Option<Expectation>>,
 ) -> Result<Option<Rc<Endpoint>>, Refusal> {
     let local = &entry.settings().data_centre;
     let stage = admitted.stage();
     let excluded = &progress.excluded;
     let choose = || {
         let (endpoints, candidates) = candidates(entry, &admitted.service, stage, local, excluded);
-        choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
+        let chosen = choose_plain(&candidates)?;
+        expectation.set(expect_plain(&candidates[chosen]));
+        Some(Rc::clone(&endpoints[chosen]))
     };
     choose_in_turn(entry, admitted, progress, stage, excluded, choose).await
 }
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -1,6 +1,6 @@
 //! Runs prefills at prefill endpoints, and keeps track of the KV caches until a decode endpoint takes them.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use camphorwall::RequestEnd;
@@ -8,7 +8,7 @@
 
 use crate::{
     balance::{
-        choice::choose_prefill,
+        choice::{choose_prefill, expect_prefill},
         loads::{Run, Work},
         placement::{Placement, candidates},
         return_queue::choose_in_turn,
@@ -20,7 +20,7 @@
     request::Admitted,
     request_log::RequestLog,
     serve::{
-        outcome::{Progress, is_for_request, note_answer_head, note_replaced},
+        outcome::{Progress, is_for_request, note_actual_time, note_answer_head, note_replaced},
         refusal::Refusal,
         stream::CAPACITY_RETRY_AFTER,
     },
@@ -80,6 +80,7 @@
 ) -> Result<Option<Prefilled>, Refusal> {
     let prompt_tokens = admitted.prompt_tokens();
     let mut excluded = Vec::new();
+    let expectation = Cell::new(None);
     loop {
         let choose = || {
             let (endpoints, candidates) = candidates(
@@ -89,8 +90,9 @@
                 &decode.data_centre,
                 &excluded,
             );
-            let chosen = choose_prefill(&candidates, prompt_tokens);
-            chosen.map(|chosen| Rc::clone(&endpoints[chosen]))
+            let chosen = choose_prefill(&candidates, prompt_tokens)?;
+            expectation.set(expect_prefill(&candidates[chosen], prompt_tokens));
+            Some(Rc::clone(&endpoints[chosen]))
         };
         let stage = Stage::Prefill;
         let choosing = choose_in_turn(entry, admitted, progress, stage, &excluded, choose);
@@ -121,6 +123,7 @@
         drop(placement);
         match result {
             Ok(PrefillOutcome::Finished(handle)) => {
+                note_actual_time(entry, admitted, &endpoint, expectation.get(), since);
                 return Ok(Some(Prefilled {
                     endpoint,
                     handle,
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -14,6 +14,7 @@
         loads::{ForecastRun, Run, Work},
         placement::{Placement, PlacementRequest, QueueRank, candidates},
         return_queue::{holds_off, note_passed_over, retry_after_refusals, returns_at},
+        speeds::ms,
     },
     clock::Moment,
     configuration::{Endpoint, Stage},
@@ -26,6 +27,7 @@
     request::Admitted,
     request_log::RequestLog,
     serve::{
+        decode_timer::DecodeTimer,
         events::EventSplitter,
         outcome::{AttemptOutcome, Progress, attempt_on},
         prefill::{Prefilled, free_kv_cache, prefill},
@@ -464,6 +466,7 @@
     sent_at: Moment,
     run_events: u32,
     pauses: Pauses,
+    decode_timer: DecodeTimer,
     /// Whether the stream stalled when no retry was left, so that nothing can be done but wait.
     waits_out_stall: bool,
     opened: Option<(Placement, AnswerBody)>,
@@ -498,6 +501,7 @@
         sent_at,
         run_events: 0,
         pauses: Pauses::new(entry.usual_pause(event_tokens.unwrap_or(0)), Moment::now()),
+        decode_timer: DecodeTimer::default(),
         waits_out_stall: false,
         opened: Some((placement, body)),
     };
@@ -530,6 +534,7 @@
             let read = compio::time::timeout(wait, body.next()).await;
             match read {
                 Ok(Ok(Some(bytes))) => {
+                    self.decode_timer.note_wait(Moment::now().since(now));
                     let Ok(events) = self.splitter.push(&bytes) else {
                         return Some(Err(self.cut_oversized_event()));
                     };
@@ -547,6 +552,9 @@
                     self.events = self.events.saturating_add(events.count);
                     self.run_events = self.run_events.saturating_add(events.count);
                     self.note_run(earlier_events, now);
+                    if let Some(time) = self.decode_timer.note_events(events.count, now) {
+                        self.note_event_time(time, now);
+                    }
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
                 }
@@ -599,6 +607,33 @@
         self.is_event_stream && (is_empty || self.splitter.is_inside_event())
     }
 
+    /// Records the time that the engine takes for an event, where choices compare expected times.
+    fn note_event_time(&self, time: Duration, now: Moment) {
+        let Some((placement, _)) = &self.opened else {
+            return;
+        };
+        let (entry, endpoint) = (&self.entry, &placement.endpoint);
+        let setting = entry.settings().expected_times;
+        let mut speeds = entry.speeds.borrow_mut();
+        if endpoint.stage != Stage::Decode || !speeds.is_in_effect(&endpoint.service, setting, now)
+        {
+            return;
+        }
+        let runs = entry.loads.borrow().count_at(&endpoint.id) as f64;
+        let per_token = time / self.event_tokens.max(1);
+        let speed = speeds.expected(endpoint, now);
+        let expected_ms = speed.time_ms(speed.usual.at(runs));
+        speeds.observe(endpoint, runs, per_token, now);
+        let times = (expected_ms, ms(per_token));
+        self.admitted
+            .request_log
+            .expected_token_time
+            .set(Some(times));
+        entry
+            .metrics
+            .note_expected_time(Stage::Decode, times.0, times.1);
+    }
+
     /// Clears the request and its prompt parts of earlier crashes once the answer has passed that point.
     fn note_run(&self, earlier_events: u32, now: Moment) {
         let (content, sent_at) = (&self.admitted.content, self.sent_at);
@@ -723,6 +758,7 @@
         }
         let usual = self.entry.usual_pause(self.event_tokens);
         self.pauses = Pauses::new(usual, Moment::now());
+        self.decode_timer = DecodeTimer::default();
         self.sent_at = opened.sent_at;
         self.run_events = 0;
         self.opened = Some((opened.placement, opened.body));
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -32,6 +32,8 @@
     pub link_mbps: Option<f64>,
     /// Memory limit of the process, in MiB.
     pub memory_mb: Option<usize>,
+    /// Whether choices compare expected times. Without it, they do for a service while its endpoints state their paces.
+    pub expected_times: Option<bool>,
     /// Bounds that the deployment requires the system to keep.
     pub bounds: Bounds,
 }
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -126,6 +126,7 @@
         max_open_files: None,
         link_mbps: None,
         memory_mb: None,
+        expected_times: None,
         bounds: Bounds {
             configuration_apply_ms: None,
             key_withdrawal_ms: None,
