--- a/crates/camphorwall-direct/src/balance/loads_tests.rs
+++ b/crates/camphorwall-direct/src/balance/loads_tests.rs
@@ -64,3 +64,22 @@
     peer.forget_peer(PEER);
     assert_eq!(known_runs(&peer, "b"), 0);
 }
+
+/// Guards against parts of prompts that count as held although peers have filled the engine's cache since.
+#[test]
+fn placed_tokens_count_each_piece_of_work_of_all_entries_once() {
+    let (mut local, mut peer) = (Loads::default(), Loads::default());
+    let placed = |loads: &Loads| loads.placed_tokens(&endpoint("a"));
+    peer.begin(&endpoint("a"), Work::Fixed(RUN));
+    local.begin(&endpoint("a"), Work::Fixed(RUN));
+    peer.note_peer(PEER, local.report_changes());
+    peer.note_peer(PEER, local.report_all());
+    assert_eq!(placed(&peer), 200);
+    let second = local.begin(&endpoint("a"), Work::Fixed(RUN));
+    peer.note_peer(PEER, local.report_all());
+    local.end(second);
+    peer.note_peer(PEER, local.report_changes());
+    assert_eq!(placed(&peer), 300);
+    assert_eq!(peer.count_at(&endpoint("a")), 2);
+    assert_eq!(placed(&local), 200);
+}
