--- a/crates/camphorwall-direct/src/balance/choice.rs
+++ b/crates/camphorwall-direct/src/balance/choice.rs
@@ -49,7 +49,7 @@
 
 /// Added time of a decode run on an engine whose KV cache will be filled completely, as a share of the usual time. A run
 /// that outlasts its forecast there causes a preemption.
-const FULL_CACHE_TIME: f64 = 0.1;
+const FULL_CACHE_TIME: f64 = 1.0;
 
 /// Added time of a plain call on an endpoint that it fills, as a share of the usual time. Calls of other entries, which
 /// are known some milliseconds later, would wait there.
@@ -59,6 +59,10 @@
 /// that is a little faster, before they know of each other's placements.
 const ALIKE_TIMES: f64 = 1.1;
 
+/// The same for decodes. They are rarer than the time until an entry knows of the others' placements, and the time of a
+/// whole run differs less between a full and an empty engine than that of its start.
+const ALIKE_DECODE_TIMES: f64 = 1.02;
+
 /// Ratio of two expected times from which on an actual time can tell which of them applies.
 const DISTINCT_TIMES: f64 = 1.5;
 
@@ -134,7 +138,7 @@
         };
         Some(peak + penalty + DECODE_FAILURE_PENALTY * candidate.expected_loss)
     };
-    lowest_score(candidates, score)
+    lowest_score(candidates, ALIKE_DECODE_TIMES, score)
 }
 
 /// The prefill endpoint with the fewest queued tokens.
@@ -157,7 +161,7 @@
         let failing = candidate.expected_loss * PREFILL_FAILURE_PENALTY_TOKENS;
         Some(waiting as f64 + remote + failing)
     };
-    lowest_score(candidates, score)
+    lowest_score(candidates, ALIKE_TIMES, score)
 }
 
 /// The plain endpoint with the lowest share of its slots in use.
@@ -175,7 +179,7 @@
         };
         Some(load + remote + PLAIN_FAILURE_PENALTY * candidate.expected_loss)
     };
-    lowest_score(candidates, score)
+    lowest_score(candidates, ALIKE_TIMES, score)
 }
 
 /// Time by which a run makes the decode work of a service longer: its own, and what its tokens add to the steps of the
@@ -343,6 +347,7 @@
 /// The candidate with the lowest score. Unreachable ones are considered only if all are unreachable.
 fn lowest_score(
     candidates: &[Candidate],
+    alike_times: f64,
     score: impl Fn(&Candidate) -> Option<f64>,
 ) -> Option<usize> {
     let is_any_reachable = candidates.iter().any(|candidate| !candidate.is_unreachable);
@@ -359,6 +364,6 @@
     // The candidates come in random order.
     let mut alike = scored
         .iter()
-        .filter(|(_, time_ms)| *time_ms <= lowest * ALIKE_TIMES);
+        .filter(|(_, time_ms)| *time_ms <= lowest * alike_times);
     alike.next().map(|(index, _)| *index)
 }
