Keep expected times in effect by what peers report

What callers saw: at an entry with less than one request in 10 s to a service, choices changed back to the former scores between requests. Cause: only paces stated to this entry counted. Change: paces that peers report count as well, for endpoints of which this entry has had an answer.

--- a/crates/camphorwall-direct/src/balance/speeds.rs
+++ b/crates/camphorwall-direct/src/balance/speeds.rs
@@ -429,6 +429,14 @@
         Some(record)
     }
 
+    fn note_pace_stated(&mut self, service: u64, at: Moment) {
+        let is_known = self.paces_stated_at.contains_key(&service);
+        if is_known || self.paces_stated_at.len() < MAX_POOLS {
+            let stated_at = self.paces_stated_at.entry(service).or_insert(at);
+            *stated_at = at.max(*stated_at);
+        }
+    }
+
     /// Adds the pace that an endpoint has just stated to the mean of its pool.
     fn note_pool_pace(&mut self, incarnation: EndpointIncarnation, now: Moment) {
         let record = self.records.get(&incarnation);
@@ -491,11 +499,7 @@
     ) {
         let incarnation = endpoint.incarnation();
         if let Some(percent) = stated.pace_percent {
-            let service = service_key(&endpoint.service);
-            if self.paces_stated_at.len() < MAX_POOLS || self.paces_stated_at.contains_key(&service)
-            {
-                self.paces_stated_at.insert(service, now);
-            }
+            self.note_pace_stated(service_key(&endpoint.service), now);
             if let Some(record) = self.record(incarnation, now) {
                 record.pool = Some(pool_key(endpoint));
                 record.note_pace(percent, now);
@@ -582,6 +586,9 @@
             if report.pace_percent > 0 {
                 let stated_at = now - Duration::from_millis(report.pace_age_ms.into());
                 record.note_pace(report.pace_percent.into(), stated_at);
+                if let Some((service, _)) = record.pool {
+                    self.note_pace_stated(service, stated_at);
+                }
                 if now.since(stated_at) < PACE_LIFETIME {
                     self.note_pool_pace(report.incarnation, now);
                 }
--- a/crates/camphorwall-direct/src/balance/speeds_tests.rs
+++ b/crates/camphorwall-direct/src/balance/speeds_tests.rs
@@ -275,3 +275,17 @@
     assert!((speed.time_ms(100.0) - 250.0).abs() < 5.0);
     assert!((speed.time_ms(2_000.0) - 2_180.0).abs() < 60.0);
 }
+
+/// Guards against an entry with little traffic that changes between the two kinds of scores.
+#[test]
+fn paces_that_peers_report_keep_expected_times_in_effect() {
+    let endpoint = prefill("p1");
+    let (mut speeds, mut peer) = (Speeds::default(), Speeds::default());
+    speeds.note_load(&endpoint, stated(0, Some(100)), 0, at_ms(1_000));
+    peer.note_load(&endpoint, stated(0, Some(100)), 0, at_ms(15_000));
+    let is_in_effect =
+        |speeds: &Speeds| speeds.is_in_effect(&endpoint.service, None, at_ms(15_100));
+    assert!(!is_in_effect(&speeds));
+    speeds.note_peer(&peer.report(at_ms(15_050)), at_ms(15_100));
+    assert!(is_in_effect(&speeds));
+}
