--- a/crates/camphorwall-direct/src/serve/mod.rs
+++ b/crates/camphorwall-direct/src/serve/mod.rs
@@ -9,5 +9,7 @@
 pub(crate) mod run;
 pub(crate) mod stream;
 
+#[cfg(test)]
+mod decode_timer_tests;
 #[cfg(test)]
 mod events_tests;
