--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -12,9 +12,11 @@
     balance::{
         choice::{Candidate, FillLimit, choose_decode},
         loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
+        prefixes::CacheState,
     },
     clock::Moment,
     configuration::{Endpoint, Stage},
+    dialect::SizedPart,
     endpoints::{cold_limit::Warmth, notices::Availability, poison::Content},
     entry::Entry,
     names::{EndpointName, ServiceName},
@@ -303,6 +305,8 @@
     let notices = entry.notices.borrow();
     let cold_limit = entry.cold_limit(service);
     let mut cold = entry.cold.borrow_mut();
+    let speeds = entry.speeds.borrow();
+    let compares_times = speeds.is_in_effect(service, entry.settings().expected_times, now);
     let mut endpoints: Vec<_> = registry
         .endpoints(service, stage, now)
         .filter(|endpoint| {
@@ -324,7 +328,35 @@
             is_unreachable: suspicions.is_unreachable(&endpoint.id, now),
             expected_loss: suspicions.expected_loss(&endpoint.id, now),
             is_cold: cold.warmth(endpoint, cold_limit, now) != Warmth::Warm,
+            speed: compares_times.then(|| speeds.expected(endpoint, now)),
         })
         .collect();
     (endpoints, candidates)
 }
+
+/// Adds to the candidates for a prefill how much of the prompt they probably hold, where choices compare expected times.
+pub(crate) fn note_held_prefixes(
+    entry: &Entry,
+    prompt: &[SizedPart],
+    capacity_tokens: u64,
+    endpoints: &[Rc<Endpoint>],
+    candidates: &mut [Candidate],
+) {
+    if prompt.is_empty() {
+        return;
+    }
+    let now = Moment::now();
+    let prefixes = entry.prefixes.borrow();
+    let loads = entry.loads.borrow();
+    for (endpoint, candidate) in endpoints.iter().zip(candidates) {
+        if let Some(speed) = &mut candidate.speed {
+            let runs = candidate.runs.iter();
+            let state = CacheState {
+                placed_tokens: loads.placed_tokens(&endpoint.id),
+                running_tokens: runs.map(|run| u64::from(run.held_tokens)).sum(),
+                capacity_tokens,
+            };
+            speed.held_tokens = prefixes.held_tokens(endpoint.incarnation(), prompt, state, now);
+        }
+    }
+}
--- a/crates/camphorwall-direct/src/documentation_tests.rs
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -11,7 +11,7 @@
 use strum::IntoEnumIterator as _;
 
 use crate::{
-    configuration::RouteKind,
+    configuration::{RouteKind, Stage},
     metrics::{GaugeValues, Metrics, Notice, Phase},
 };
 
@@ -85,6 +85,8 @@
     metrics.count_retry(true);
     metrics.count_notice(Notice::Leaving);
     metrics.count_cold_send(true);
+    metrics.count_prefix(1, true);
+    metrics.note_expected_time(Stage::Prefill, 1.0, 1.0);
     let text = metrics.text(GaugeValues::default());
     let named = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
     let named = named.filter_map(|line| line.split_whitespace().next());
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     balance::{
-        lengths::LengthModel, loads::Loads, placement::PlacementQueue, return_queue::ReturnQueue,
+        lengths::LengthModel, loads::Loads, placement::PlacementQueue, prefixes::PrefixIndex,
+        return_queue::ReturnQueue, speeds::Speeds,
     },
     clock::Moment,
     configuration::{Endpoint, RouteKind, Stage},
@@ -115,6 +116,8 @@
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
     pub(crate) loads: RefCell<Loads>,
+    pub(crate) speeds: RefCell<Speeds>,
+    pub(crate) prefixes: RefCell<PrefixIndex>,
     pub(crate) suspicions: RefCell<Suspicions>,
     pub(crate) notices: RefCell<Notices>,
     pub(crate) cold: RefCell<ColdState>,
@@ -212,6 +215,8 @@
             is_watching_all: Cell::new(false),
             lengths: RefCell::default(),
             loads: RefCell::default(),
+            speeds: RefCell::default(),
+            prefixes: RefCell::default(),
             suspicions: RefCell::default(),
             notices: RefCell::default(),
             cold: RefCell::new(cold),
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -10,6 +10,7 @@
     balance::{
         loads::ReportedWork,
         placement::{QueueRank, ReportedWaiter},
+        speeds::ReportedSpeed,
     },
     clock::Moment,
     contract::quota::ReportedAccount,
@@ -87,6 +88,8 @@
     pub(crate) suspects: Vec<ReportedSuspect>,
     /// The split of what cold endpoints can sustain, and their cold times; nothing if no service has a limit.
     pub(crate) cold: Option<(ReportedSplit, Vec<ReportedColdTime>)>,
+    /// Speeds of endpoints that were observed since they were last reported.
+    pub(crate) speeds: Vec<ReportedSpeed>,
 }
 
 #[derive(Debug)]
@@ -405,6 +408,7 @@
             leaving: entry.notices.borrow_mut().report(now),
             suspects: entry.poison.borrow_mut().report(now),
             cold: entry.report_cold(now),
+            speeds: entry.speeds.borrow_mut().report(now),
         };
         (addresses, heartbeat)
     };
@@ -520,6 +524,7 @@
     let mut suspicions = entry.suspicions.borrow_mut();
     suspicions.note_peer(&heartbeat.results, now);
     drop(suspicions);
+    entry.speeds.borrow_mut().note_peer(&heartbeat.speeds, now);
     let share = entry.quota_share(now);
     let mut quotas = entry.quotas.borrow_mut();
     quotas.note_peer(heartbeat.incarnation, heartbeat.accounts, share, now);
--- a/crates/camphorwall-direct/src/fleet/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -184,6 +184,7 @@
         leaving: Vec::new(),
         suspects: Vec::new(),
         cold: None,
+        speeds: Vec::new(),
     };
     postcard::to_stdvec(&heartbeat).expect("a heartbeat").len()
 }
@@ -216,6 +217,7 @@
         leaving: Vec::new(),
         suspects: Vec::new(),
         cold: None,
+        speeds: Vec::new(),
     }
 }
 
--- a/crates/camphorwall-direct/src/serve/mod.rs
+++ b/crates/camphorwall-direct/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Serves one caller's request from an endpoint, from its placement to the last byte.
 
+pub(crate) mod decode_timer;
 pub(crate) mod events;
 pub(crate) mod outcome;
 pub(crate) mod plain;
@@ -8,5 +9,7 @@
 pub(crate) mod run;
 pub(crate) mod stream;
 
+#[cfg(test)]
+mod decode_timer_tests;
 #[cfg(test)]
 mod events_tests;
