Give each test thread a loopback host of its own beyond 254 threads

Fleet tests of platform/ failed now and then with "Address already in use" for a peer address: threads get hosts by a count that wraps at 254, and with the tests of evacuations one process has more (each fleet takes a thread for each further entry). Two tests then shared a host and took each other's ports.

The count no longer wraps at 256, and each process has a second block of 254 hosts.

--- a/crates/camphorwall-standin/src/fleet/address.rs
+++ b/crates/camphorwall-standin/src/fleet/address.rs
@@ -2,23 +2,28 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::atomic::{AtomicU8, Ordering},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use camphorwall::{PeerAuth, PeerSecret, RpcClient};
 
 /// Number of threads of this process that have requested an address.
-static THREADS: AtomicU8 = AtomicU8::new(0);
+static THREADS: AtomicU32 = AtomicU32::new(0);
+
+/// Host addresses in the block of one process; a last byte of 0 or 255 is none.
+const HOSTS: u32 = 254;
 
 thread_local! {
     static LOOPBACK: Ipv4Addr = thread_loopback(std::process::id(), THREADS.fetch_add(1, Ordering::Relaxed));
 }
 
 /// Loopback address for one thread of one process.
-fn thread_loopback(process: u32, thread: u8) -> Ipv4Addr {
+pub(super) fn thread_loopback(process: u32, thread: u32) -> Ipv4Addr {
     let [_, _, high, low] = process.to_be_bytes();
-    // A last byte of 0 or 255 is not a host address.
-    Ipv4Addr::new(127, high, low, 1 + thread % 254)
+    // Process ids are below 2^15 on most systems, so the highest bit is free for a second block of hosts.
+    let second_block = if thread / HOSTS % 2 == 1 { 0x80 } else { 0 };
+    let [.., host] = (1 + thread % HOSTS).to_be_bytes();
+    Ipv4Addr::new(127, high ^ second_block, low, host)
 }
 
 /// Loopback address of this thread with a port that the system chooses. Each test runs in its own thread, so no other
--- a/crates/camphorwall-standin/src/fleet/mod.rs
+++ b/crates/camphorwall-standin/src/fleet/mod.rs
@@ -8,6 +8,9 @@
 mod published;
 mod waiting;
 
+#[cfg(test)]
+mod address_tests;
+
 pub use address::{any_port, fleet_client, fleet_secret};
 pub use endpoint::FleetEndpoint;
 pub use members::Fleet;
