Serve requests only in the regions that their route and team allow

Routes and teams of the configuration may list the regions in which their requests may be served. Entries ignored the lists, so such requests and their KV caches went to any data centre.

The settings give the region of each data centre. Choice, placement queue, the check right before a send, resumed streams and the source of a KV cache respect the regions that both lists allow. They are looked up in the newest configuration, so a request that waits or lies between choice and send follows a change; streams in progress finish. A request that has no endpoint left is refused at once, before its team is charged, with the outcome no_allowed_region: Retry-After 30 s if only another configuration can help, 1 s if an endpoint may still start in an allowed region. A waiting request with homes holds back lower-ranked ones only in its own regions, and is not reported to peers. Configurations without lists, and settings without regions, behave as before.

--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::Duration,
 };
@@ -15,6 +16,7 @@
     },
     clock::Moment,
     configuration::{Endpoint, Stage},
+    contract::homes::{AllowedRegions, RequestHomes},
     endpoints::{notices::Availability, poison::Content},
     entry::Entry,
     names::{EndpointName, ServiceName},
@@ -95,6 +97,7 @@
     /// Last moment at which an endpoint can begin the request while its caller still waits.
     pub(crate) start_by: Moment,
     pub(crate) content: Rc<Content>,
+    pub(crate) homes: Rc<RequestHomes>,
     /// Endpoints that have refused the request or failed while running it.
     pub(crate) excluded: Vec<EndpointName>,
     /// Whether its wait has been reported to the peers.
@@ -200,11 +203,11 @@
                 waited_ms: u32::try_from(waited_ms).unwrap_or(u32::MAX),
             }
         };
-        waiters
+        // Requests with homes wait for a few endpoints, and must not hold back those of peers for the others.
+        let reported = waiters
             .iter()
-            .take(MAX_REPORTED_WAITERS)
-            .map(report)
-            .collect()
+            .filter(|waiter| !waiter.request.homes.was_restricted());
+        reported.take(MAX_REPORTED_WAITERS).map(report).collect()
     }
 }
 
@@ -237,6 +240,8 @@
     let mut is_any_unreported = false;
     // A request that doesn't fit holds back the lower-ranked ones of its service, or large requests would starve.
     let mut blocked: Vec<ServiceName> = Vec::new();
+    // One with homes holds them back only there.
+    let mut held: HashMap<ServiceName, Vec<Rc<AllowedRegions>>> = HashMap::new();
     while index < waiters.len() {
         let request = &waiters[index].request;
         if blocked.contains(&request.service) {
@@ -247,11 +252,21 @@
         let ahead = entry.peers.borrow().ahead_of(service, request.rank, now);
         let due_round = scheduling_round(ahead);
         let is_due = due_round.is_some_and(|due_round| due_round <= round);
-        let found = is_due.then(|| find_endpoint(entry, request)).flatten();
+        let held_regions = held.get(&request.service).map_or(&[][..], Vec::as_slice);
+        let found = is_due.then(|| find_endpoint(entry, request, held_regions));
+        let found = found.flatten();
         let Some(endpoint) = found else {
             let later = due_round.filter(|_| !is_due);
             next = next.into_iter().chain(later).min();
-            blocked.push(request.service.clone());
+            let allowed = request.homes.allowed(&entry.registry.borrow());
+            if allowed.is_restricted() {
+                let held_regions = held.entry(request.service.clone()).or_default();
+                if !held_regions.contains(&allowed) {
+                    held_regions.push(allowed);
+                }
+            } else {
+                blocked.push(request.service.clone());
+            }
             is_any_unreported |= !request.is_reported.replace(true);
             index += 1;
             continue;
@@ -270,14 +285,39 @@
     next
 }
 
-fn find_endpoint(entry: &Entry, request: &PlacementRequest) -> Option<Rc<Endpoint>> {
+/// Removes the endpoints for which requests with homes that are ranked higher wait.
+fn without_held(
+    entry: &Entry,
+    endpoints: Vec<Rc<Endpoint>>,
+    candidates: Vec<Candidate>,
+    held: &[Rc<AllowedRegions>],
+) -> (Vec<Rc<Endpoint>>, Vec<Candidate>) {
+    if held.is_empty() {
+        return (endpoints, candidates);
+    }
+    let settings = entry.settings();
+    let is_free = |(endpoint, _): &(Rc<Endpoint>, Candidate)| {
+        let region = settings.region_of(&endpoint.data_centre);
+        !held.iter().any(|regions| regions.permits(region))
+    };
+    let pairs = endpoints.into_iter().zip(candidates);
+    pairs.filter(is_free).unzip()
+}
+
+fn find_endpoint(
+    entry: &Entry,
+    request: &PlacementRequest,
+    held: &[Rc<AllowedRegions>],
+) -> Option<Rc<Endpoint>> {
     let (endpoints, candidates) = candidates(
         entry,
         &request.service,
         Stage::Decode,
         &entry.settings().data_centre,
+        &request.homes,
         &request.excluded,
     );
+    let (endpoints, candidates) = without_held(entry, endpoints, candidates, held);
     let chosen = choose_decode(
         &candidates,
         request.forecast.run,
@@ -293,6 +333,7 @@
     service: &ServiceName,
     stage: Stage,
     near: &crate::names::DataCentreName,
+    homes: &RequestHomes,
     excluded: &[EndpointName],
 ) -> (Vec<Rc<Endpoint>>, Vec<Candidate>) {
     let now = Moment::now();
@@ -300,11 +341,13 @@
     let loads = entry.loads.borrow();
     let suspicions = entry.suspicions.borrow();
     let notices = entry.notices.borrow();
+    let is_home = entry.homes_filter(homes);
     let mut endpoints: Vec<_> = registry
         .endpoints(service, stage, now)
         .filter(|endpoint| {
             notices.availability(endpoint, now) == Availability::Now
                 && !excluded.contains(&endpoint.id)
+                && is_home(&endpoint.data_centre)
         })
         .cloned()
         .collect();
--- a/crates/camphorwall-direct/src/balance/placement_tests.rs
+++ b/crates/camphorwall-direct/src/balance/placement_tests.rs
@@ -10,7 +10,7 @@
     configuration::Stage,
     endpoints::poison::{Content, Fingerprint},
     entry::Entry,
-    testing::{endpoint, entry_with_empty_dialect},
+    testing::{endpoint, entry_with_empty_dialect, homes_anywhere},
 };
 
 const PEER: ([u8; 4], u16) = ([10, 0, 0, 2], 7_500);
@@ -42,6 +42,7 @@
             fingerprint: Fingerprint(1),
             shared_parts: Vec::new(),
         }),
+        homes: homes_anywhere(),
         excluded: Vec::new(),
         is_reported: Cell::new(false),
     }
--- a/crates/camphorwall-direct/src/balance/return_queue.rs
+++ b/crates/camphorwall-direct/src/balance/return_queue.rs
@@ -8,6 +8,7 @@
     balance::placement::QueueRank,
     clock::Moment,
     configuration::{Endpoint, Stage},
+    contract::homes::RequestHomes,
     endpoints::notices::{Availability, first_return},
     entry::Entry,
     names::{EndpointName, ServiceName},
@@ -128,7 +129,8 @@
             break chosen;
         }
         let now = Moment::now();
-        let returns_at = match returns_at(entry, &admitted.service, stage, excluded, now) {
+        let homes = &admitted.homes;
+        let returns_at = match returns_at(entry, &admitted.service, stage, homes, excluded, now) {
             Some(at) => at,
             None if chosen.is_none() => break None,
             None => now,
@@ -136,7 +138,10 @@
         if returns_at > admitted.start_by {
             return Err(holds_off(progress, returns_at, now));
         }
-        let turn = turn.get_or_insert_with(|| Turn::join(entry, &pool, rank, excluded));
+        let turn = turn.get_or_insert_with(|| {
+            let unusable = with_outside(entry, admitted, stage, excluded);
+            Turn::join(entry, &pool, rank, &unusable)
+        });
         let wait = returns_at.since(now).min(HOLD_OFF_POLL_PERIOD);
         let waking = turn.wake.notified();
         // After a timeout the endpoints are looked at all the same.
@@ -149,6 +154,21 @@
     Ok(chosen)
 }
 
+/// Endpoints that a request can't use: the excluded ones and those outside its homes.
+fn with_outside(
+    entry: &Entry,
+    admitted: &Admitted,
+    stage: Stage,
+    excluded: &[EndpointName],
+) -> Vec<EndpointName> {
+    let registry = entry.registry.borrow();
+    let endpoints = registry.endpoints(&admitted.service, stage, Moment::now());
+    let is_home = entry.homes_filter(&admitted.homes);
+    let outside = endpoints.filter(|endpoint| !is_home(&endpoint.data_centre));
+    let outside = outside.map(|endpoint| endpoint.id.clone());
+    excluded.iter().cloned().chain(outside).collect()
+}
+
 /// Retry-After of a request that endpoints refused: when the first one returns if all hold requests off, else `usual`.
 pub(crate) fn retry_after_refusals(
     entry: &Entry,
@@ -158,14 +178,17 @@
 ) -> Duration {
     let now = Moment::now();
     let (service, stage) = (&admitted.service, admitted.stage());
-    returns_at(entry, service, stage, &progress.excluded, now).map_or(usual, |at| at.since(now))
+    let homes = &admitted.homes;
+    let returns_at = returns_at(entry, service, stage, homes, &progress.excluded, now);
+    returns_at.map_or(usual, |at| at.since(now))
 }
 
 /// Rejects the requests that wait for a decode endpoint if none returns in time for them.
 pub(crate) fn reject_hopeless(entry: &Entry, service: &ServiceName) {
     let now = Moment::now();
     entry.placement_queue.reject(|request| {
-        let returns_at = returns_at(entry, service, Stage::Decode, &request.excluded, now);
+        let (homes, excluded) = (&request.homes, &request.excluded);
+        let returns_at = returns_at(entry, service, Stage::Decode, homes, excluded, now);
         request.service == *service && returns_at.is_some_and(|at| at > request.start_by)
     });
 }
@@ -192,12 +215,15 @@
     entry: &Entry,
     service: &ServiceName,
     stage: Stage,
+    homes: &RequestHomes,
     excluded: &[EndpointName],
     now: Moment,
 ) -> Option<Moment> {
     let registry = entry.registry.borrow();
     let notices = entry.notices.borrow();
+    let is_home = entry.homes_filter(homes);
     let endpoints = registry.endpoints(service, stage, now);
-    let endpoints = endpoints.filter(|endpoint| !excluded.contains(&endpoint.id));
+    let endpoints = endpoints
+        .filter(|endpoint| !excluded.contains(&endpoint.id) && is_home(&endpoint.data_centre));
     first_return(endpoints.map(|endpoint| notices.availability(endpoint, now)))
 }
--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -10,6 +10,7 @@
 use strum::{Display, EnumString};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::contract::homes::AllowedRegions;
 use crate::names::{DataCentreName, EndpointName, ServiceName, TeamName};
 use crate::route_table::RouteTable;
 
@@ -121,6 +122,8 @@
     pub max_attempts: u32,
     /// Whether callers need no key.
     pub is_open: bool,
+    /// Regions in which requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
@@ -187,6 +190,8 @@
     pub counts_tokens: bool,
     /// Charge of a request without a token count.
     pub default_cost: f64,
+    /// Regions in which the team's requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Digest of the callers' keys of a configuration and of the teams that they belong to.
--- a/crates/camphorwall-direct/src/endpoints/evacuation_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/evacuation_tests.rs
@@ -6,7 +6,7 @@
     configuration::{Endpoint, Stage},
     endpoints::{
         evacuation::{EvacuationChange, Evacuations, ReportedEvacuations},
-        registry::Registry,
+        registry::{Closure, Registry},
     },
     names::DataCentreName,
     testing::{at_ms, endpoint},
@@ -158,18 +158,21 @@
 fn a_service_is_evacuated_when_none_of_its_endpoints_is_left() {
     let mut registry = Registry::default();
     let service = in_centre("n", "north").service;
-    let lasted = |registry: &Registry, now_ms| {
-        registry.evacuated_for(&service, Stage::Decode, at_ms(now_ms))
+    let closure = |registry: &Registry, now_ms| {
+        registry.closure(&service, Stage::Decode, |_| true, at_ms(now_ms))
     };
-    assert_eq!(lasted(&registry, 0), None);
+    assert_eq!(closure(&registry, 0), None);
     registry.register(in_centre("n", "north"), 1);
     registry.register(in_centre("s", "south"), 2);
     let evacuations = &mut registry.evacuations;
     evacuations.apply(&name("north"), true, 3, at_ms(1_000));
-    assert_eq!(lasted(&registry, 9_000), None);
+    assert_eq!(closure(&registry, 9_000), None);
     let evacuations = &mut registry.evacuations;
     evacuations.apply(&name("south"), true, 4, at_ms(5_000));
-    assert_eq!(lasted(&registry, 9_000), Some(Duration::from_secs(4)));
+    assert_eq!(
+        closure(&registry, 9_000),
+        Some(Closure::Evacuated(Duration::from_secs(4)))
+    );
     // Endpoints that drain anyway are not missing because of the evacuation.
     for id in ["n", "s"] {
         let draining = Endpoint {
@@ -178,7 +181,7 @@
         };
         registry.register(draining, 9);
     }
-    assert_eq!(lasted(&registry, 9_000), None);
+    assert_eq!(closure(&registry, 9_000), None);
 }
 
 /// Guards against an evacuation of a data centre without endpoints that counts as one or affects others.
--- a/crates/camphorwall-direct/src/endpoints/registry.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry.rs
@@ -42,6 +42,17 @@
     pub(crate) evacuations: Evacuations,
 }
 
+/// Why a request may be sent to none of the endpoints that would take it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Closure {
+    /// All that it may be sent to are in data centres that have been evacuated for this time.
+    Evacuated(Duration),
+    /// All are outside the regions in which it may be served.
+    OutsideHomes,
+    /// No data centre is in a region in which it may be served.
+    NoRegion,
+}
+
 /// Effect of a change of the registrations.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -258,17 +269,15 @@
         })
     }
 
-    /// Time for which evacuations alone have kept the endpoints of a service from new work of a stage; `None` if one takes
-    /// work, or none would without them.
-    pub(crate) fn evacuated_for(
+    /// Why evacuations or the homes of a request keep it from all endpoints of a service that would take work of a stage;
+    /// `None` if one may take it, or none would anyway.
+    pub(crate) fn closure(
         &self,
         service: &ServiceName,
         stage: Stage,
+        is_home: impl Fn(&DataCentreName) -> bool,
         now: Moment,
-    ) -> Option<Duration> {
-        if self.endpoints(service, stage, now).next().is_some() {
-            return None;
-        }
+    ) -> Option<Closure> {
         let would_take_work = |registration: &&Registration| {
             let endpoint = &registration.endpoint;
             self.is_present(registration, now)
@@ -276,13 +285,18 @@
                 && endpoint.stage == stage
                 && !endpoint.is_draining
         };
-        let kept = self.registrations.values().filter(would_take_work);
-        let lasted = kept.filter_map(|registration| {
+        let mut closure = None;
+        for registration in self.registrations.values().filter(would_take_work) {
             let data_centre = &registration.endpoint.data_centre;
-            self.evacuations.lasted(data_centre, now)
-        });
-        // The first data centre that is back can serve; which one that is, is not known.
-        lasted.min()
+            let reason = if is_home(data_centre) {
+                Closure::Evacuated(self.evacuations.lasted(data_centre, now)?)
+            } else {
+                Closure::OutsideHomes
+            };
+            // Of several evacuations, the one that began last counts; which one ends first is not known.
+            closure = closure.into_iter().chain([reason]).min();
+        }
+        closure
     }
 
     /// Number of endpoints that are registered in a data centre.
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -19,6 +19,7 @@
     clock::Moment,
     configuration::{Endpoint, RouteKind, Stage},
     contract::{
+        homes::RequestHomes,
         quota::{Quotas, usable_share},
         retries::{RetryBounds, RetryBudget},
     },
@@ -26,13 +27,13 @@
     endpoints::{
         notices::Notices,
         poison::{BlockCause, Content, Poison},
-        registry::Registry,
+        registry::{Closure, Registry},
         suspicion::Suspicions,
     },
     fleet::peers::Peers,
     memory_pool::MemoryPool,
     metrics::{GaugeValues, Metrics},
-    names::ServiceName,
+    names::{DataCentreName, ServiceName},
     notify::Notify,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::Sampler,
@@ -234,6 +235,12 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Puts other settings in force.
+    #[cfg(test)]
+    pub(crate) fn replace_settings(&self, settings: DirectSettings) {
+        self.settings.replace(Rc::new(settings));
+    }
+
     /// Reads the settings file again and applies changes; changed addresses apply at the next start.
     pub(crate) fn reload(&self) {
         let settings = match DirectSettings::read(&self.settings_path) {
@@ -358,20 +365,49 @@
     }
 
     /// Whether a request that was placed at an endpoint may be sent to it.
-    pub(crate) fn may_send(&self, endpoint: &Endpoint) -> bool {
+    pub(crate) fn may_send(&self, endpoint: &Endpoint, homes: &RequestHomes) -> bool {
         let now = Moment::now();
+        if !self.homes_filter(homes)(&endpoint.data_centre) {
+            return false;
+        }
         let notices = self.notices.borrow();
         self.registry.borrow().takes_work(endpoint, now)
             && notices.may_send(endpoint.incarnation(), now)
     }
 
-    /// Rejects the waiting requests whose endpoints are all in evacuated data centres.
-    pub(crate) fn reject_evacuated(&self) {
-        let now = Moment::now();
+    /// Returns whether a request with these homes may be served in a data centre, by the configuration in force.
+    pub(crate) fn homes_filter(
+        &self,
+        homes: &RequestHomes,
+    ) -> impl Fn(&DataCentreName) -> bool + use<> {
+        let allowed = homes.allowed(&self.registry.borrow());
+        let settings = self.settings();
+        move |data_centre| {
+            !allowed.is_restricted() || allowed.permits(settings.region_of(data_centre))
+        }
+    }
+
+    /// Why evacuations or its homes keep a request from all endpoints of a service.
+    pub(crate) fn closure(
+        &self,
+        service: &ServiceName,
+        stage: Stage,
+        homes: &RequestHomes,
+    ) -> Option<Closure> {
         let registry = self.registry.borrow();
+        let settings = self.settings();
+        let allowed = homes.allowed(&registry);
+        if allowed.is_restricted() && !allowed.listed().any(|region| settings.has_region(region)) {
+            return Some(Closure::NoRegion);
+        }
+        registry.closure(service, stage, self.homes_filter(homes), Moment::now())
+    }
+
+    /// Rejects the waiting requests that evacuations or their homes keep from all endpoints.
+    pub(crate) fn reject_closed(&self) {
         self.placement_queue.reject(|request| {
-            let lasted = registry.evacuated_for(&request.service, Stage::Decode, now);
-            lasted.is_some()
+            let closure = self.closure(&request.service, Stage::Decode, &request.homes);
+            closure.is_some()
         });
     }
 
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -46,13 +46,14 @@
     UnreadableParts,
 };
 pub use connection_headers::remove_connection_headers;
+pub use contract::homes::AllowedRegions;
 pub use dialect::{
     AnswerFacts, Changes, ConfigurationDraft, Dialect, DraftConfiguration, ForwardingFacts,
     KvHandle, Page, PromptPart, RequestFacts, StoreDialect, StoreItem, UnreadableConfiguration,
     UnreadableReason, UnreadableRoute,
 };
 pub use fleet::signals::watch_signals;
-pub use names::{DataCentreName, EndpointName, InstanceName, ServiceName, TeamName};
+pub use names::{DataCentreName, EndpointName, InstanceName, RegionName, ServiceName, TeamName};
 pub use route_table::RouteTable;
 pub use serve::run::{ControlCommand, StartError, run};
 pub use settings::{Bounds, DirectSettings};
--- a/crates/camphorwall-direct/src/names.rs
+++ b/crates/camphorwall-direct/src/names.rs
@@ -70,6 +70,10 @@
     /// One process of the system. Displayed with escapes where needed.
     InstanceName
 }
+name! {
+    /// A region, a set of data centres. Displayed with escapes where needed.
+    RegionName
+}
 name! {
     /// A service, a set of endpoints that do the same work. Displayed with escapes where needed.
     ServiceName
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -13,7 +13,7 @@
     balance::placement::QueueRank,
     clock::Moment,
     configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
-    contract::charge::Charge,
+    contract::{charge::Charge, homes::RequestHomes},
     dialect::{ForwardingFacts, KvHandle, RequestFacts},
     endpoints::{
         poison::{Block, Content, Fingerprint},
@@ -23,7 +23,7 @@
     memory_pool::MemoryShare,
     names::ServiceName,
     request_log::RequestLog,
-    serve::{plain, refusal::Refusal, stream},
+    serve::{outcome::closed, plain, refusal::Refusal, stream},
 };
 
 /// Retry-After of a refusal whose cause is expected to pass soon.
@@ -47,6 +47,7 @@
     pub(crate) service_facts: Service,
     pub(crate) team: Option<Rc<Team>>,
     pub(crate) content: Rc<Content>,
+    pub(crate) homes: Rc<RequestHomes>,
     pub(crate) arrived_at: Moment,
     pub(crate) ends_at: Moment,
     /// Last moment at which an endpoint can begin the request while its caller still waits.
@@ -222,6 +223,9 @@
         let reason = RequestEnd::ConfigurationPartUnreadable;
         return Err(Refusal::not_run(reason, TRANSIENT_RETRY_AFTER));
     }
+    let key = facts.key.clone().unwrap_or_default();
+    let homes = RequestHomes::new(Rc::clone(&route), team.clone().map(|team| (key, team)));
+    check_open(entry, &configuration, &service, &homes)?;
     entry.retries.borrow_mut().count_request(&service, now);
     let charging = Charge::take(entry, &facts, &route, team.clone(), request_log);
     let charge = charging.await?;
@@ -245,6 +249,7 @@
         service_facts: service_facts.unwrap_or(Service { engine: None }),
         team,
         content,
+        homes,
         request_log: Rc::clone(request_log),
         _body_memory: body_memory,
         _active: active,
@@ -255,6 +260,26 @@
     }
 }
 
+/// Refuses a request that evacuations or its homes keep from all endpoints, before its team is charged.
+fn check_open(
+    entry: &Entry,
+    configuration: &Configuration,
+    service: &ServiceName,
+    homes: &RequestHomes,
+) -> Result<(), Refusal> {
+    let engine = configuration
+        .services
+        .get(service)
+        .and_then(|facts| facts.engine);
+    let stage = engine.map_or(Stage::Whole, |_| Stage::Decode);
+    entry
+        .closure(service, stage, homes)
+        .map_or(Ok(()), |closure| {
+            let (reason, retry_after) = closed(closure);
+            Err(Refusal::not_run(reason, retry_after))
+        })
+}
+
 /// Refuses a request with content that crashes endpoints.
 fn check_harmless(entry: &Entry, content: &Content) -> Result<(), Refusal> {
     let now = Moment::now();
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -11,6 +11,7 @@
     clock::Moment,
     configuration::{Endpoint, Stage},
     dialect::AnswerFacts,
+    endpoints::registry::Closure,
     entry::Entry,
     metrics::Notice,
     names::EndpointName,
@@ -19,11 +20,11 @@
     upstream::{Answer, Connection, SendError},
 };
 
-/// Minimum Retry-After of a request whose endpoints are all in evacuated data centres.
-const MIN_EVACUATION_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Minimum Retry-After of a request that may be sent to no endpoint.
+const CLOSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Maximum Retry-After of such a request, so that callers notice the end of a long evacuation.
-const MAX_EVACUATION_RETRY_AFTER: Duration = Duration::from_secs(30);
+const MAX_CLOSED_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// The attempts that one request has made so far.
 #[derive(Clone, Default)]
@@ -80,6 +81,15 @@
         admitted.route.kind.may_retry() && self.runs < admitted.route.max_attempts
     }
 
+    /// Refuses a request that evacuations or its homes keep from all endpoints that answer callers.
+    pub(crate) fn check_open(&self, entry: &Entry, admitted: &Admitted) -> Result<(), Refusal> {
+        let closure = entry.closure(&admitted.service, admitted.stage(), &admitted.homes);
+        closure.map_or(Ok(()), |closure| {
+            let (reason, retry_after) = closed(closure);
+            Err(self.give_up(reason, retry_after))
+        })
+    }
+
     /// Refuses to send a request again whose content has turned out to crash endpoints.
     pub(crate) fn check_harmless(&self, entry: &Entry, admitted: &Admitted) -> Result<(), Refusal> {
         admitted.block(entry).map_or(Ok(()), |block| {
@@ -97,7 +107,7 @@
         }
     }
 
-    /// The refusal of a request for which no endpoint is left: evacuations state when one may return, else `usual` is.
+    /// The refusal of a request for which no endpoint is left.
     pub(crate) fn no_endpoint(
         &self,
         entry: &Entry,
@@ -105,10 +115,10 @@
         stage: Stage,
         usual: Duration,
     ) -> Refusal {
-        match evacuated_for(entry, admitted, stage) {
-            Some(lasted) => {
-                let retry_after = retry_after_evacuation(lasted);
-                self.give_up(RequestEnd::EndpointsEvacuated, retry_after)
+        match entry.closure(&admitted.service, stage, &admitted.homes) {
+            Some(closure) => {
+                let (reason, retry_after) = closed(closure);
+                self.give_up(reason, retry_after)
             }
             None => self.give_up(RequestEnd::NoEndpoint, usual),
         }
@@ -124,16 +134,19 @@
     }
 }
 
-/// Time for which evacuations alone have kept the endpoints of a request's service from new work; `None` if they don't.
-pub(crate) fn evacuated_for(entry: &Entry, admitted: &Admitted, stage: Stage) -> Option<Duration> {
-    let registry = entry.registry.borrow();
-    registry.evacuated_for(&admitted.service, stage, Moment::now())
-}
-
-/// Retry-After of a request whose endpoints are all in evacuated data centres. When an evacuation ends is not published;
-/// one that has lasted for a time is likely to last as long again.
-pub(crate) fn retry_after_evacuation(lasted: Duration) -> Duration {
-    lasted.clamp(MIN_EVACUATION_RETRY_AFTER, MAX_EVACUATION_RETRY_AFTER)
+/// Reason and Retry-After of the refusal of a request that may be sent to no endpoint.
+pub(crate) fn closed(closure: Closure) -> (RequestEnd, Duration) {
+    match closure {
+        // When an evacuation ends is not published; one that has lasted for a time is likely to last as long again.
+        Closure::Evacuated(lasted) => (
+            RequestEnd::EndpointsEvacuated,
+            lasted.clamp(CLOSED_RETRY_AFTER, MAX_CLOSED_RETRY_AFTER),
+        ),
+        // Endpoints may start in an allowed region at any time.
+        Closure::OutsideHomes => (RequestEnd::NoAllowedRegion, CLOSED_RETRY_AFTER),
+        // Only another configuration, or other settings, can help.
+        Closure::NoRegion => (RequestEnd::NoAllowedRegion, MAX_CLOSED_RETRY_AFTER),
+    }
 }
 
 /// Result of one attempt.
@@ -176,7 +189,7 @@
     endpoint: &Endpoint,
     request: Request<Bytes>,
 ) -> AttemptOutcome {
-    if !entry.may_send(endpoint) {
+    if !entry.may_send(endpoint, &admitted.homes) {
         // The endpoint said so while the connection was opened.
         return AttemptOutcome::NotSent;
     }
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -159,7 +159,14 @@
     let stage = admitted.stage();
     let excluded = &progress.excluded;
     let choose = || {
-        let (endpoints, candidates) = candidates(entry, &admitted.service, stage, local, excluded);
+        let (endpoints, candidates) = candidates(
+            entry,
+            &admitted.service,
+            stage,
+            local,
+            &admitted.homes,
+            excluded,
+        );
         choose_plain(&candidates).map(|chosen| Rc::clone(&endpoints[chosen]))
     };
     choose_in_turn(entry, admitted, progress, stage, excluded, choose).await
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -87,6 +87,7 @@
                 &admitted.service,
                 Stage::Prefill,
                 &decode.data_centre,
+                &admitted.homes,
                 &excluded,
             );
             let chosen = choose_prefill(&candidates, prompt_tokens);
@@ -162,7 +163,7 @@
     request: http::Request<Bytes>,
 ) -> PrefillOutcome {
     let connected = Connection::open(endpoint.address).await;
-    if !entry.may_send(endpoint) {
+    if !entry.may_send(endpoint, &admitted.homes) {
         return PrefillOutcome::NotSent;
     }
     let sent_at = Moment::now();
@@ -227,11 +228,20 @@
     registry.evacuations.is_evacuated(&endpoint.data_centre)
 }
 
-/// Drops a KV cache whose data centre has been evacuated since the prefill, since the decode endpoint would fetch it from
-/// there; returns whether it did. The prompt is prefilled again elsewhere.
-pub(crate) fn drop_evacuated_cache(entry: &Entry, prefilled: &mut Option<Prefilled>) -> bool {
-    let held = prefilled.take_if(|held| is_evacuated(entry, &held.endpoint));
-    held.is_some()
+/// Drops a KV cache whose data centre has been evacuated since the prefill, or is no home of the request any more, since
+/// the decode endpoint would fetch it from there; returns whether it did. The prompt is prefilled again elsewhere.
+pub(crate) fn drop_closed_cache(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    prefilled: &mut Option<Prefilled>,
+) -> bool {
+    let is_home = entry.homes_filter(&admitted.homes);
+    let held = prefilled.take_if(|held| {
+        is_evacuated(entry, &held.endpoint) || !is_home(&held.endpoint.data_centre)
+    });
+    let is_dropped = held.is_some();
+    free_kv_cache(entry, held);
+    is_dropped
 }
 
 /// Frees a KV cache that no decode endpoint will take.
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -27,8 +27,8 @@
     request_log::RequestLog,
     serve::{
         events::EventSplitter,
-        outcome::{AttemptOutcome, Progress, attempt_on, evacuated_for, retry_after_evacuation},
-        prefill::{Prefilled, drop_evacuated_cache, free_kv_cache, prefill},
+        outcome::{AttemptOutcome, Progress, attempt_on},
+        prefill::{Prefilled, drop_closed_cache, free_kv_cache, prefill},
         refusal::Refusal,
     },
     upstream::{Answer, AnswerBody, Connection},
@@ -189,8 +189,8 @@
             connecting.await?
         };
         let endpoint = &connected.placement.endpoint;
-        let is_cache_lost = drop_evacuated_cache(entry, prefilled);
-        if entry.may_send(endpoint) {
+        let is_cache_lost = drop_closed_cache(entry, admitted, prefilled);
+        if entry.may_send(endpoint, &admitted.homes) {
             if is_cache_lost {
                 continue;
             }
@@ -326,8 +326,11 @@
     }
     let has_endpoints = {
         let registry = entry.registry.borrow();
+        let is_home = entry.homes_filter(&admitted.homes);
         let mut endpoints = registry.endpoints(&admitted.service, Stage::Decode, Moment::now());
-        endpoints.any(|endpoint| !progress.excluded.contains(&endpoint.id))
+        endpoints.any(|endpoint| {
+            !progress.excluded.contains(&endpoint.id) && is_home(&endpoint.data_centre)
+        })
     };
     if !has_endpoints {
         return Err(progress.no_endpoint(entry, admitted, Stage::Decode, CAPACITY_RETRY_AFTER));
@@ -347,6 +350,7 @@
         rank,
         start_by,
         content: Rc::clone(&admitted.content),
+        homes: Rc::clone(&admitted.homes),
         excluded: progress.excluded.clone(),
         is_reported: Cell::new(false),
     };
@@ -354,7 +358,7 @@
     let mut placement = None;
     for (rank, until) in wait_phases {
         progress.check_harmless(entry, admitted)?;
-        check_evacuated(entry, admitted, progress)?;
+        progress.check_open(entry, admitted)?;
         check_return(entry, admitted, progress, start_by)?;
         let left = until.since(Moment::now());
         if placement.is_none() && !left.is_zero() {
@@ -366,7 +370,7 @@
     note_passed_over(entry, admitted, Stage::Decode);
     progress.check_harmless(entry, admitted)?;
     if placement.is_none() {
-        check_evacuated(entry, admitted, progress)?;
+        progress.check_open(entry, admitted)?;
         check_return(entry, admitted, progress, start_by)?;
     }
     placement.ok_or_else(|| {
@@ -375,15 +379,6 @@
     })
 }
 
-/// Refuses a request whose decode endpoints are all in data centres that were evacuated while it waited.
-fn check_evacuated(entry: &Entry, admitted: &Admitted, progress: &Progress) -> Result<(), Refusal> {
-    let lasted = evacuated_for(entry, admitted, Stage::Decode);
-    lasted.map_or(Ok(()), |lasted| {
-        let retry_after = retry_after_evacuation(lasted);
-        Err(progress.give_up(RequestEnd::EndpointsEvacuated, retry_after))
-    })
-}
-
 /// Refuses a request if all decode endpoints hold requests off until after the last moment at which it can start.
 fn check_return(
     entry: &Entry,
@@ -393,7 +388,15 @@
 ) -> Result<(), Refusal> {
     let now = Moment::now();
     let excluded = &progress.excluded;
-    let returns_at = returns_at(entry, &admitted.service, Stage::Decode, excluded, now);
+    let homes = &admitted.homes;
+    let returns_at = returns_at(
+        entry,
+        &admitted.service,
+        Stage::Decode,
+        homes,
+        excluded,
+        now,
+    );
     match returns_at {
         Some(at) if at > start_by => Err(holds_off(progress, at, now)),
         _ => Ok(()),
@@ -452,6 +455,7 @@
         &admitted.service,
         Stage::Whole,
         local,
+        &admitted.homes,
         &progress.excluded,
     );
     let chosen = choose_plain(&candidates)
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of an entry, read from a JSON file with comments.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
 
-use crate::names::{DataCentreName, InstanceName};
+use crate::names::{DataCentreName, InstanceName, RegionName};
 use camphorwall::{FileError, read_json_with_comments};
 use serde::Deserialize;
 
@@ -14,6 +14,10 @@
     pub instance: InstanceName,
     /// Data centre that this process runs in.
     pub data_centre: DataCentreName,
+    /// Region that this process runs in.
+    pub region: Option<RegionName>,
+    /// Region of each data centre; without it, only this process's own is known.
+    pub data_centres: Option<BTreeMap<DataCentreName, RegionName>>,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address that the load balancer probes for readiness.
@@ -115,6 +119,20 @@
         read_json_with_comments(path)
     }
 
+    /// Region of a data centre, if it is known.
+    pub(crate) fn region_of(&self, data_centre: &DataCentreName) -> Option<&RegionName> {
+        let listed = self.data_centres.as_ref();
+        let listed = listed.and_then(|regions| regions.get(data_centre));
+        let own = self.region.as_ref();
+        listed.or(own.filter(|_| *data_centre == self.data_centre))
+    }
+
+    /// Whether a data centre is in a region.
+    pub(crate) fn has_region(&self, region: &RegionName) -> bool {
+        let mut listed = self.data_centres.iter().flat_map(BTreeMap::values);
+        self.region.as_ref() == Some(region) || listed.any(|known| known == region)
+    }
+
     /// Rate of the link in whole Mbit/s, 0 if it is not known.
     pub(crate) fn link_mbps_or_zero(&self) -> u32 {
         self.link_mbps.map_or(0, whole_mbps)
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -15,6 +15,7 @@
     clock::Moment,
     configuration::{Configuration, Route},
     configuration_change::ConfigurationChange,
+    contract::homes::check_homes,
     dialect::{ConfigurationDraft, StoreItem, UnreadableConfiguration},
     entry::Entry,
 };
@@ -222,6 +223,25 @@
     configuration
 }
 
+/// Reports what is wrong with the homes of the configuration in force, and rejects waiting requests that have none left.
+fn apply_homes(entry: &Entry, version: u64) {
+    let settings = entry.settings();
+    let faults = {
+        let registry = entry.registry.borrow();
+        let configuration = registry.configuration();
+        configuration.map(|newest| check_homes(newest, |region| settings.has_region(region)))
+    };
+    let faults = faults.unwrap_or_default();
+    for (region, holder) in faults.unknown {
+        tracing::warn!(event = "home_region_unknown", version, %region, holder);
+    }
+    for (route, team) in faults.disjoint {
+        tracing::warn!(event = "homes_disjoint", version, route, team);
+    }
+    entry.reject_closed();
+    entry.placement_queue.notify();
+}
+
 /// Puts a configuration in force unless a newer one is.
 pub(super) fn put_in_force(
     entry: &Entry,
@@ -236,7 +256,11 @@
         let configuration = Rc::clone(configuration);
         entry.recent.borrow_mut().add(revision, configuration);
     }
+    drop(registry);
     entry.tracker.borrow_mut().note_read(revision);
+    if is_newer {
+        apply_homes(entry, version);
+    }
     tracing::info!(
         event = "configuration_read",
         version,
--- a/crates/camphorwall-direct/src/store/evacuations.rs
+++ b/crates/camphorwall-direct/src/store/evacuations.rs
@@ -189,7 +189,7 @@
             }
         }
     }
-    entry.reject_evacuated();
+    entry.reject_closed();
     entry.placement_queue.notify();
     entry.mirror.borrow_mut().wake_followers();
 }
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -7,7 +7,10 @@
 use crate::{
     clock::Moment,
     configuration::{Endpoint, Route, RouteKind, Stage, Team},
-    contract::quota::WaitLimits,
+    contract::{
+        homes::{AllowedRegions, RequestHomes},
+        quota::WaitLimits,
+    },
     dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect, UnreadableRoute},
     entry::Entry,
     names::EndpointName,
@@ -28,6 +31,7 @@
         burst,
         counts_tokens: true,
         default_cost: 200.0,
+        allowed_regions: AllowedRegions::any(),
     }
 }
 
@@ -45,9 +49,15 @@
         services: vec![("drafts".parse().expect("a name"), 1)],
         max_attempts: 2,
         is_open: false,
+        allowed_regions: AllowedRegions::any(),
     }
 }
 
+/// Homes of a request that may be served in any region.
+pub(crate) fn homes_anywhere() -> Rc<RequestHomes> {
+    RequestHomes::new(Rc::new(route("shop.example", "/")), None)
+}
+
 /// Limits of a caller that waits for an answer on time and no longer.
 pub(crate) fn wait_limits_until(end: Moment) -> WaitLimits {
     WaitLimits {
@@ -118,6 +128,8 @@
     let settings = DirectSettings {
         instance: "entry-1".parse().expect("a name"),
         data_centre: "north".parse().expect("a name"),
+        region: None,
+        data_centres: None,
         caller_address: address(1),
         probe_address: address(2),
         metrics_address: None,
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -36,6 +36,8 @@
     KeysNotProved,
     /// The prompt is larger than the KV cache of any endpoint.
     LargerThanAnyEndpoint,
+    /// No endpoint of the service is in a region in which the request may be served.
+    NoAllowedRegion,
     /// The entry has no configuration yet.
     NoConfiguration,
     /// No endpoint of the service is registered, or all of them were tried.
@@ -116,6 +118,9 @@
                 "the configuration was not proved to be current for longer than a withdrawn key may be accepted; look for store_lost"
             }
             Self::LargerThanAnyEndpoint => "the prompt exceeds the memory of one engine",
+            Self::NoAllowedRegion => {
+                "no endpoint of the service is in a region that the route and the team allow; look for home_region_unknown and homes_disjoint, then at the allowed regions of both and where endpoints are registered"
+            }
             Self::NoConfiguration => {
                 "the process has just started or never reached the store, so it knows no configuration or no evacuations; look for store_lost and evacuations_not_read"
             }
