--- a/crates/camphorwall-direct/src/endpoints/cold_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_tests.rs
@@ -6,13 +6,14 @@
     balance::placement::candidates,
     clock::Moment,
     configuration::{ColdLimits, Configuration, Endpoint, Service, Stage},
+    contract::homes::RequestHomes,
     dialect::AnswerFacts,
     endpoints::{
         cold::{ColdSplit, MemberId, PERMIT_PERIOD},
         cold_times::{Change, ColdTimes},
     },
     entry::Entry,
-    testing::{at_ms, endpoint, entry_with_empty_dialect},
+    testing::{at_ms, endpoint, entry_with_empty_dialect, route},
 };
 
 const AFTER_START: Duration = Duration::from_secs(20);
@@ -234,7 +235,8 @@
     assert!((0..100).all(|_| entry.begin_send(&cold, now)));
     assert!(entry.report_cold(now).is_none());
     let (service, local) = (&cold.service, &cold.data_centre);
-    let (endpoints, candidates) = candidates(&entry, service, Stage::Whole, local, &[]);
+    let homes = RequestHomes::new(Rc::new(route("localhost", "/")), None);
+    let (endpoints, candidates) = candidates(&entry, service, Stage::Whole, local, &homes, &[]);
     assert_eq!(endpoints.len(), 2);
     assert!(candidates.iter().all(|candidate| !candidate.is_cold));
 }
@@ -243,7 +245,8 @@
 fn an_endpoint_without_a_permit_is_no_candidate() {
     let (entry, cold, _) = entry(Some(LIMITS));
     let (service, local) = (&cold.service, &cold.data_centre);
-    let (endpoints, candidates) = candidates(&entry, service, Stage::Whole, local, &[]);
+    let homes = RequestHomes::new(Rc::new(route("localhost", "/")), None);
+    let (endpoints, candidates) = candidates(&entry, service, Stage::Whole, local, &homes, &[]);
     let names: Vec<_> = endpoints.iter().map(|found| found.id.as_str()).collect();
     assert_eq!(names, ["warm"]);
     assert!(!candidates[0].is_cold);
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -170,7 +170,14 @@
     let stage = admitted.stage();
     let excluded = &progress.excluded;
     let choose = || {
-        let (endpoints, candidates) = candidates(entry, &admitted.service, stage, local, excluded);
+        let (endpoints, candidates) = candidates(
+            entry,
+            &admitted.service,
+            stage,
+            local,
+            &admitted.homes,
+            excluded,
+        );
         let chosen = choose_plain(&candidates)?;
         expectation.set(expect_plain(&candidates[chosen]));
         Some(Rc::clone(&endpoints[chosen]))
