Account for the memory of connections, bodies and answers as it is taken

Cause: a body without a length counted as 64 KiB whatever came. Buffers of connections, arriving heads and pages of the store counted as nothing, the stream below the HTTP library copied a whole body into a buffer that never shrinks, and the kernel kept up to 6 MiB for each connection that was not read.

Change: - One MemoryPool of half the process's memory. Bodies are kept in blocks of at most 16 KiB, reserved as bytes arrive, and sent on in these blocks. When the pool is full, bodies that are still arriving yield: first those without bytes for a second, then those above 64 KiB, of each kind the newest first. Their callers get 503 with Retry-After at once, and what they still send is read and discarded for up to 5 s so that the answer isn't lost. Large bodies leave an eighth of the pool to small ones, answers a quarter to requests. - A connection reserves 24 KiB and takes part in at most half the pool, a head above 4 KiB reserves 48 KiB, a request 80 KiB for the buffers of both sides. When there is no room, the oldest connection that never sent a request is closed for a new one. Heads must be whole within header_timeout_ms, and connections may be idle for idle_timeout_ms, of the configuration, both with a third more. - A body ends with 408 (outcome body_stalled) when nothing of it came for idle_timeout_ms, or when the request's deadline has passed. - The kernel's buffers of callers' and endpoints' connections are set to 32 KiB. - Pages of the store count towards the pool, and bodies yield to them.

--- a/crates/camphorwall-direct/src/configuration.rs
+++ b/crates/camphorwall-direct/src/configuration.rs
@@ -59,6 +59,10 @@
     pub max_head_bytes: usize,
     /// Maximum size of a request's body.
     pub max_body_bytes: usize,
+    /// Maximum time from the first byte of a head to its end.
+    pub head_timeout: Duration,
+    /// Maximum time without bytes, within a body or between two requests.
+    pub idle_timeout: Duration,
 }
 
 impl Default for CallerLimits {
@@ -66,6 +70,8 @@
         Self {
             max_head_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(45),
         }
     }
 }
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -41,12 +41,9 @@
     upstream::{Connection, SendError},
 };
 
-/// Divisor of the process's memory that gives the part which bodies of requests may fill.
-const REQUEST_MEMORY_PART: usize = 4;
-
-/// Divisor of the process's memory that gives the part which answers may fill before they are passed on. The buffers of
-/// their connections come on top.
-const ANSWER_MEMORY_PART: usize = 8;
+/// Divisor of the process's memory that gives the part which is lent to connections, bodies and answers. The rest holds
+/// the program, the configuration while it is read, and gaps in the heap; docs/CAPACITY.md adds it up.
+const LENT_MEMORY_PART: usize = 2;
 
 /// Time after the stop command in which new requests are still served: the load balancer removes an instance after two
 /// failed probes, one a second.
@@ -91,8 +88,7 @@
 pub(crate) struct Entry {
     settings: RefCell<Rc<DirectSettings>>,
     settings_path: PathBuf,
-    pub(crate) request_memory: Rc<MemoryPool>,
-    pub(crate) answer_memory: Rc<MemoryPool>,
+    pub(crate) memory: Rc<MemoryPool>,
     pub(crate) dialect: Dialect,
     pub(crate) registry: RefCell<Registry>,
     pub(crate) tracker: RefCell<ConfigurationTracker>,
@@ -189,8 +185,7 @@
         Rc::new(Self {
             settings: RefCell::new(Rc::new(settings)),
             settings_path,
-            request_memory: MemoryPool::new(memory_mb, REQUEST_MEMORY_PART),
-            answer_memory: MemoryPool::new(memory_mb, ANSWER_MEMORY_PART),
+            memory: MemoryPool::new(memory_mb, LENT_MEMORY_PART),
             dialect,
             registry: RefCell::default(),
             tracker: RefCell::default(),
@@ -248,8 +243,7 @@
             .borrow_mut()
             .set_bounds(retry_bounds(&settings));
         self.peers.borrow_mut().add_seeds(&settings.seeds);
-        self.request_memory.set_memory(settings.memory_mb);
-        self.answer_memory.set_memory(settings.memory_mb);
+        self.memory.set_memory(settings.memory_mb);
         self.settings.replace(Rc::new(settings));
     }
 
@@ -517,6 +511,8 @@
             peers_silent: peers.silent(self.keys_rejected_after(), now),
             reads_store: self.reads_store.get(),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
+            memory_held_bytes: self.memory.held_bytes(),
+            memory_limit_bytes: self.memory.limit_bytes(),
         })
     }
 
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -3,6 +3,7 @@
 //! Names and formats of a platform are known only to its adapter, which passes a [`Dialect`] to [`run()`].
 
 mod balance;
+mod blocks;
 mod clock;
 mod configuration;
 mod configuration_change;
@@ -17,6 +18,7 @@
 mod names;
 mod notify;
 mod request;
+mod request_body;
 mod request_log;
 mod route_table;
 mod serve;
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -92,6 +92,8 @@
     pub(crate) peers_silent: usize,
     pub(crate) reads_store: bool,
     pub(crate) log_lines_dropped: u64,
+    pub(crate) memory_held_bytes: usize,
+    pub(crate) memory_limit_bytes: usize,
 }
 
 /// Metrics of one entry.
@@ -114,6 +116,8 @@
     peers_silent: Gauge<u64, AtomicU64>,
     reads_store: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
+    memory_held_bytes: Gauge<u64, AtomicU64>,
+    memory_limit_bytes: Gauge<u64, AtomicU64>,
 }
 
 fn phase_histogram() -> Histogram {
@@ -152,6 +156,8 @@
             peers_silent: Gauge::default(),
             reads_store: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            memory_held_bytes: Gauge::default(),
+            memory_limit_bytes: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -225,6 +231,16 @@
             "Log lines that found the ring full",
             &self.log_lines_dropped,
         );
+        gauge(
+            "memory_held_bytes",
+            "Memory reserved for connections, bodies and answers",
+            &self.memory_held_bytes,
+        );
+        gauge(
+            "memory_limit_bytes",
+            "Memory that may be reserved",
+            &self.memory_limit_bytes,
+        );
         registry.register(
             "keys_proof_age_seconds",
             "Age of the proof that the configuration is the newest, -1 for none",
@@ -313,6 +329,9 @@
         self.peers_silent.set(gauges.peers_silent as u64);
         self.reads_store.set(u64::from(gauges.reads_store));
         self.log_lines_dropped.set(gauges.log_lines_dropped);
+        self.memory_held_bytes.set(gauges.memory_held_bytes as u64);
+        self.memory_limit_bytes
+            .set(gauges.memory_limit_bytes as u64);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry.borrow()) {
             tracing::warn!(event = "metrics_not_encoded", %error);
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -2,8 +2,7 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use camphorwall::{BoxedBody, RequestBody, RequestEnd, collect_body};
+use camphorwall::{BoxedBody, RequestBody, RequestEnd};
 use futures_util::future::{self, Either};
 use http::{HeaderValue, Method, Request, StatusCode, Uri, Version, header};
 use hyper::Response;
@@ -11,6 +10,7 @@
 
 use crate::{
     balance::placement::QueueRank,
+    blocks::Blocks,
     clock::Moment,
     configuration::{Configuration, Endpoint, Route, RouteKind, Service, Stage, Team},
     contract::charge::Charge,
@@ -22,6 +22,7 @@
     entry::{ActiveGuard, Entry},
     memory_pool::MemoryShare,
     names::ServiceName,
+    request_body::{self, BodyFault, ReceivedBody},
     request_log::RequestLog,
     serve::{plain, refusal::Refusal, stream},
 };
@@ -29,18 +30,12 @@
 /// Retry-After of a refusal whose cause is expected to pass soon.
 pub(crate) const TRANSIENT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Maximum size of the body that is read of a request that is refused because of its head.
-const MAX_REFUSED_BODY_BYTES: usize = 256 * 1024;
-
-/// Memory that is reserved for a body without an announced length.
-const UNANNOUNCED_BODY_BYTES: usize = 64 * 1024;
-
 /// A request that passed admission.
 pub(crate) struct Admitted {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: http::HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Blocks,
     pub(crate) facts: RequestFacts,
     pub(crate) route: Rc<Route>,
     pub(crate) service: ServiceName,
@@ -53,7 +48,7 @@
     pub(crate) start_by: Moment,
     pub(crate) request_log: Rc<RequestLog>,
     pub(crate) charge: Charge,
-    _body_memory: MemoryShare,
+    _memory: [MemoryShare; 2],
     /// Keeps a stopping entry alive until the answer has ended.
     _active: ActiveGuard,
 }
@@ -102,7 +97,7 @@
         stage: Stage,
         kv_source: Option<(std::net::SocketAddr, KvHandle)>,
         last_event_id: Option<u64>,
-    ) -> Request<Bytes> {
+    ) -> Request<Blocks> {
         let forwarding = ForwardingFacts {
             endpoint: endpoint.id.clone(),
             team: self.team.as_ref().map(|team| team.name.clone()),
@@ -183,32 +178,29 @@
 async fn serve(
     entry: &Rc<Entry>,
     parts: http::request::Parts,
-    body: RequestBody,
+    mut body: RequestBody,
     facts: RequestFacts,
     request_log: &Rc<RequestLog>,
 ) -> Result<Response<BoxedBody>, Refusal> {
     let active = entry.begin_request();
-    let head = admit_head(entry, &parts, &facts, request_log);
-    let max_body_bytes = match &head {
-        Ok(head) => head.configuration.limits.max_body_bytes,
-        Err(_) => MAX_REFUSED_BODY_BYTES,
+    let received = match admit_head(entry, &parts, &facts, request_log) {
+        Ok(head) => receive_body(entry, &mut body, &parts, &facts, head, request_log).await,
+        Err(refusal) => Err(refusal),
+    };
+    let (head, received) = match received {
+        Ok(received) => received,
+        Err(refusal) => {
+            request_body::discard(entry, body, &parts.headers);
+            return Err(refusal);
+        }
     };
-    let announced = announced_bytes(&parts.headers).min(max_body_bytes);
-    let body_memory = entry.request_memory.reserve(announced);
-    let body_memory = body_memory
-        .ok_or_else(|| Refusal::not_run(RequestEnd::BodiesFillMemory, TRANSIENT_RETRY_AFTER))?;
-    // The body is read even before a refusal: closing a connection with unread bytes would reset it.
-    let body = collect_body(body, max_body_bytes).await;
+    drop(body);
     let HeadFacts {
         configuration,
         route,
         team,
-    } = head?;
-    request_log.note_team(team.as_deref());
-    let body = body.ok_or_else(|| {
-        let status = StatusCode::PAYLOAD_TOO_LARGE;
-        refuse_by_configuration(entry, status, RequestEnd::BodyTooLargeOrBroken)
-    })?;
+    } = head;
+    let ReceivedBody { body, memory } = received;
     let content = Rc::new(Content {
         fingerprint: fingerprint(&parts.uri, &facts, &body),
         shared_parts: facts.shared_parts.clone(),
@@ -246,7 +238,7 @@
         team,
         content,
         request_log: Rc::clone(request_log),
-        _body_memory: body_memory,
+        _memory: memory,
         _active: active,
     };
     match admitted.route.kind {
@@ -255,6 +247,37 @@
     }
 }
 
+/// Receives the body of a request whose head was admitted.
+async fn receive_body(
+    entry: &Rc<Entry>,
+    body: &mut RequestBody,
+    parts: &http::request::Parts,
+    facts: &RequestFacts,
+    head: HeadFacts,
+    request_log: &RequestLog,
+) -> Result<(HeadFacts, ReceivedBody), Refusal> {
+    let ends_at = request_log.arrived_at + head.route.time_limit(facts.deadline);
+    let limits = &head.configuration.limits;
+    let received = request_body::receive(entry, body, parts, limits, ends_at).await;
+    request_log.note_team(head.team.as_deref());
+    match received {
+        Ok(received) => Ok((head, received)),
+        Err(BodyFault::NoMemory) => Err(Refusal::not_run(
+            RequestEnd::BodiesFillMemory,
+            TRANSIENT_RETRY_AFTER,
+        )),
+        Err(BodyFault::Stalled) => Err(Refusal::caller_error(
+            StatusCode::REQUEST_TIMEOUT,
+            RequestEnd::BodyStalled,
+        )),
+        Err(BodyFault::TooLargeOrBroken) => Err(refuse_by_configuration(
+            entry,
+            StatusCode::PAYLOAD_TOO_LARGE,
+            RequestEnd::BodyTooLargeOrBroken,
+        )),
+    }
+}
+
 /// Refuses a request with content that crashes endpoints.
 fn check_harmless(entry: &Entry, content: &Content) -> Result<(), Refusal> {
     let now = Moment::now();
@@ -266,26 +289,19 @@
 }
 
 /// Hash of what stays the same when a caller sends a request again: path, key and body.
-fn fingerprint(uri: &Uri, facts: &RequestFacts, body: &[u8]) -> Fingerprint {
+fn fingerprint(uri: &Uri, facts: &RequestFacts, body: &Blocks) -> Fingerprint {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     let key = facts.key.as_deref().unwrap_or_default();
     let mut hash = Xxh3::new();
-    for part in [path.as_bytes(), key.as_bytes(), body] {
+    for part in [path.as_bytes(), key.as_bytes()] {
         hash.update(&part.len().to_le_bytes());
         hash.update(part);
     }
-    Fingerprint(hash.digest())
-}
-
-/// Body size that a head announces; a body without a length counts as one of usual size.
-fn announced_bytes(headers: &http::HeaderMap) -> usize {
-    let length = headers.get(header::CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
-    match length {
-        Some(bytes) => bytes,
-        None if headers.contains_key(header::TRANSFER_ENCODING) => UNANNOUNCED_BODY_BYTES,
-        None => 0,
+    hash.update(&body.len().to_le_bytes());
+    for block in body.iter() {
+        hash.update(block);
     }
+    Fingerprint(hash.digest())
 }
 
 /// What admission learns from the head alone.
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use camphorwall::RequestEnd;
 use http::{Request, StatusCode, header};
 
 use crate::{
     balance::return_queue::reject_hopeless,
+    blocks::Blocks,
     clock::Moment,
     configuration::Endpoint,
     dialect::AnswerFacts,
@@ -125,7 +125,7 @@
     entry: &Rc<Entry>,
     admitted: &Admitted,
     endpoint: &Endpoint,
-    request: Request<Bytes>,
+    request: Request<Blocks>,
 ) -> AttemptOutcome {
     match Connection::open(endpoint.address).await {
         Ok(connection) => attempt_on(connection, entry, admitted, endpoint, request).await,
@@ -139,7 +139,7 @@
     entry: &Rc<Entry>,
     admitted: &Admitted,
     endpoint: &Endpoint,
-    request: Request<Bytes>,
+    request: Request<Blocks>,
 ) -> AttemptOutcome {
     if !entry.may_send(endpoint) {
         // The endpoint said so while the connection was opened.
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -199,9 +199,9 @@
     } = answer;
     let now = Moment::now();
     let endpoint = placement.endpoint.id.clone();
-    let mut memory = entry.answer_memory.share();
+    let mut memory = entry.memory.share();
     let start = body
-        .read_start(|bytes| bytes <= MAX_BUFFERED_BYTES && memory.grow_to(bytes))
+        .read_start(|bytes| bytes <= MAX_BUFFERED_BYTES && memory.grow_answer_to(bytes))
         .await
         .inspect_err(|error| {
             tracing::info!(event = "answer_broke", request_id = admitted.id(), %endpoint, %error);
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use camphorwall::RequestEnd;
 use http::StatusCode;
 
@@ -13,6 +12,7 @@
         placement::{Placement, candidates},
         return_queue::choose_in_turn,
     },
+    blocks::Blocks,
     clock::Moment,
     configuration::{Endpoint, Stage},
     dialect::KvHandle,
@@ -159,7 +159,7 @@
     entry: &Rc<Entry>,
     admitted: &Admitted,
     endpoint: &Endpoint,
-    request: http::Request<Bytes>,
+    request: http::Request<Blocks>,
 ) -> PrefillOutcome {
     let connected = Connection::open(endpoint.address).await;
     if !entry.may_send(endpoint) {
--- a/crates/camphorwall-direct/src/serve/run.rs
+++ b/crates/camphorwall-direct/src/serve/run.rs
@@ -2,7 +2,10 @@
 
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
-use camphorwall::{HttpLimits, HttpServer, LogRing, RequestBody, TaskGroup, stop_pair};
+use camphorwall::{
+    CONNECTION_BYTES, ConnectionBounds, HttpLimits, HttpServer, LogRing, RequestBody, TaskGroup,
+    stop_pair,
+};
 use compio::net::{TcpListener, UdpSocket};
 use futures_channel::mpsc;
 use futures_util::{FutureExt as _, StreamExt as _};
@@ -11,6 +14,7 @@
 
 use crate::{
     balance::placement,
+    clock::Moment,
     dialect::Dialect,
     entry::{EXIT_MARGIN, Entry},
     fleet::peers,
@@ -19,8 +23,21 @@
     store,
 };
 
-/// Maximum idle time of a caller's connection. Callers usually close theirs earlier.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Factor from the published time limits to those after which a connection is closed. Bytes that a client sent in time may
+/// be read later, since all tasks share one thread.
+const TIMEOUT_MARGIN: f64 = 4.0 / 3.0;
+
+/// Divisor of the lent memory that gives the part which idle connections of callers may take.
+const CONNECTIONS_PART: usize = 2;
+
+/// Size of each of the kernel's two buffers of a caller's connection.
+const CALLER_SOCKET_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Maximum number of connections of other entries: two of each follower and some that have broken.
+const MAX_FOLLOWER_CONNECTIONS: usize = 128;
+
+/// Maximum number of connections to each of the addresses for probes and metrics.
+const MAX_OPERATOR_CONNECTIONS: usize = 32;
 
 /// How often the settings file is read again, since it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
@@ -65,6 +82,34 @@
         .context(StartSnafu { address, field })
 }
 
+/// Limits of a caller's connection.
+fn caller_limits(entry: &Entry) -> HttpLimits {
+    let files = entry.settings().max_open_files.unwrap_or(1_024);
+    let by_files = files.saturating_sub(RESERVED_FILES).max(64) / 2;
+    let by_memory = entry.memory.limit_bytes() / CONNECTIONS_PART / CONNECTION_BYTES;
+    let published = entry.registry.borrow().configuration().map(|it| it.limits);
+    let published = published.unwrap_or_default();
+    HttpLimits {
+        head_timeout: published.idle_timeout.mul_f64(TIMEOUT_MARGIN),
+        head_arrival_timeout: published.head_timeout.mul_f64(TIMEOUT_MARGIN),
+        socket_buffer_bytes: Some(CALLER_SOCKET_BUFFER_BYTES),
+        max_connections: by_files.min(by_memory),
+        ..HttpLimits::default()
+    }
+}
+
+/// Bounds of all callers' connections by the entry's memory.
+fn caller_bounds(entry: &Rc<Entry>) -> ConnectionBounds {
+    let (limited, lending) = (Rc::clone(entry), Rc::clone(entry));
+    ConnectionBounds {
+        limits: Box::new(move || caller_limits(&limited)),
+        reserve: Rc::new(move |bytes| {
+            let memory = lending.memory.reserve_first(bytes, Moment::now())?;
+            Some(Box::new(memory))
+        }),
+    }
+}
+
 /// Serves until the stop command, then waits for active requests to end.
 ///
 /// # Errors
@@ -85,12 +130,6 @@
     })?;
     // Followers' calls use TCP on the port that heartbeats use over UDP.
     let follower_listener = bind(address, "peer_address").await?;
-    let files = settings.max_open_files.unwrap_or(1_024);
-    let limits = HttpLimits {
-        head_timeout: IDLE_TIMEOUT,
-        max_connections: files.saturating_sub(RESERVED_FILES).max(64) / 2,
-        ..HttpLimits::default()
-    };
     let entry = Entry::new(settings, settings_path, dialect, log);
     tracing::info!(event = "started", instance = %entry.settings().instance);
     let background = &entry.tasks;
@@ -107,16 +146,24 @@
     let servers = TaskGroup::default();
     let caller_server = HttpServer {
         listener: caller_listener,
-        limits,
+        limits: caller_limits(&entry),
     };
     let served = Rc::clone(&entry);
     let handler = move |request: Request<RequestBody>| {
         request::answer(Rc::clone(&served), request).boxed_local()
     };
-    servers.spawn(caller_server.serve(handler, stopped.clone()));
+    let bounds = caller_bounds(&entry);
+    servers.spawn(caller_server.serve_within(handler, stopped.clone(), bounds));
     let follower_server = HttpServer {
         listener: follower_listener,
-        limits: HttpLimits::default(),
+        limits: HttpLimits {
+            max_connections: MAX_FOLLOWER_CONNECTIONS,
+            ..HttpLimits::default()
+        },
+    };
+    let operator_limits = HttpLimits {
+        max_connections: MAX_OPERATOR_CONNECTIONS,
+        ..HttpLimits::default()
     };
     let relaying = Rc::clone(&entry);
     let handler = move |request: Request<RequestBody>| {
@@ -125,7 +172,7 @@
     servers.spawn(follower_server.serve(handler, stopped.clone()));
     let probe_server = HttpServer {
         listener: probe_listener,
-        limits: HttpLimits::default(),
+        limits: operator_limits,
     };
     let answering = Rc::clone(&entry);
     let handler = move |_| std::future::ready(answering.answer_probe());
@@ -133,7 +180,7 @@
     if let Some(listener) = metrics_listener {
         let metrics_server = HttpServer {
             listener,
-            limits: HttpLimits::default(),
+            limits: operator_limits,
         };
         let measured = Rc::clone(&entry);
         let handler = move |_| std::future::ready(measured.answer_scrape());
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Request, StatusCode, header};
 use strum::Display;
 
-use crate::{clock::Moment, entry::Entry, upstream};
+use crate::{clock::Moment, entry::Entry, memory_pool::MemoryShare, upstream};
 
 /// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -74,11 +74,12 @@
         silence_timeout: ANSWER_TIMEOUT,
         max_bytes,
     };
-    call(entry.settings().store_address, path, limits).await
+    call(entry, entry.settings().store_address, path, limits).await
 }
 
 /// Calls a reader, which may hold the call for a time.
 pub(super) async fn call_reader(
+    entry: &Entry,
     reader: SocketAddr,
     path: &str,
     wait: Duration,
@@ -88,27 +89,36 @@
         silence_timeout: READER_TIMEOUT,
         max_bytes: usize::MAX,
     };
-    call(reader, path, limits).await
+    call(entry, reader, path, limits).await
 }
 
 /// Body of an answer, or its beginning if it is larger than the call allows.
 pub(super) struct CallBody {
     pub(super) bytes: Bytes,
     pub(super) is_complete: bool,
+    /// Memory of the bytes.
+    _memory: MemoryShare,
 }
 
 /// Calls the store, or an entry that reads it, and returns the body of the answer.
-async fn call(store: SocketAddr, path: &str, limits: CallLimits) -> Result<CallBody, StoreError> {
+async fn call(
+    entry: &Entry,
+    store: SocketAddr,
+    path: &str,
+    limits: CallLimits,
+) -> Result<CallBody, StoreError> {
     let began_at = Moment::now();
     let mut answer = answer_head(store, path, limits).await?;
     let announced = announced_bytes(&answer.parts.headers);
     let mut body = BytesMut::new();
+    let mut memory = entry.memory.share();
     let body_began_at = Moment::now();
     loop {
         if body.len().max(announced.unwrap_or(0)) > limits.max_bytes {
             return Ok(CallBody {
                 bytes: body.freeze(),
                 is_complete: false,
+                _memory: memory,
             });
         }
         let elapsed = Moment::now().since(body_began_at);
@@ -123,6 +133,7 @@
         })?;
         let Some(data) = next? else { break };
         body.extend_from_slice(&data);
+        memory.grow_anyway_to(body.capacity(), Moment::now());
         if body.len() > MAX_ANSWER_BYTES {
             let error = format!("the answer of {store} is larger than {MAX_ANSWER_BYTES} bytes");
             return Err(StoreError::Failed(error));
@@ -135,6 +146,7 @@
     Ok(CallBody {
         bytes: body.freeze(),
         is_complete: true,
+        _memory: memory,
     })
 }
 
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -90,7 +90,7 @@
         )
     };
     let path = relay::configuration_path(after, READER_WAIT);
-    let body = call_reader(reader, &path, READER_WAIT).await?;
+    let body = call_reader(entry, reader, &path, READER_WAIT).await?;
     let unreadable = |error: postcard::Error| StoreError::Failed(error.to_string());
     let (head, change) =
         postcard::take_from_bytes::<ConfigurationHead>(&body.bytes).map_err(unreadable)?;
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -350,7 +350,7 @@
         STALE_WAIT
     };
     let path = relay::changes_path(after, wait);
-    let body = call_reader(reader, &path, wait).await?;
+    let body = call_reader(entry, reader, &path, wait).await?;
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
     let received_at = Moment::now();
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -6,18 +6,24 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use camphorwall::{MeteredStream, ReadMeter};
+use camphorwall::{MeteredStream, ReadMeter, set_socket_buffers};
 use compio::{net::TcpStream, runtime::JoinHandle};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::BodyExt as _;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use snafu::Snafu;
 
+use crate::blocks::Blocks;
+
 /// Timeout of setting up a connection; with a reachable endpoint this takes one or two round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum size of an answer's head, and of what is read ahead of a body.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Size of each of the kernel's two buffers of a connection. They hold what an endpoint sends while the caller does not
+/// read; with the system's sizes that is up to 6 MiB for each answer.
+const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
+
 /// A request that got no answer.
 #[derive(Debug, Snafu)]
 pub(crate) enum SendError {
@@ -104,7 +110,7 @@
 /// An open connection on which nothing has been sent yet.
 pub(crate) struct Connection {
     address: SocketAddr,
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Blocks>,
     meter: ReadMeter,
     task: JoinHandle<()>,
 }
@@ -124,6 +130,7 @@
         };
         // With Nagle's algorithm on, a small request may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
+        set_socket_buffers(&stream, SOCKET_BUFFER_BYTES);
         let meter = ReadMeter::of_answer();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -146,8 +153,11 @@
     /// Sends a request and waits for the head of its answer.
     ///
     /// The connection may have ended since it was opened; a request that it didn't begin to write was not sent.
-    pub(crate) async fn send(mut self, request: Request<Bytes>) -> Result<Answer, SendError> {
-        let sent = self.sender.try_send_request(request.map(Full::new)).await;
+    pub(crate) async fn send(
+        mut self,
+        request: Request<impl Into<Blocks>>,
+    ) -> Result<Answer, SendError> {
+        let sent = self.sender.try_send_request(request.map(Into::into)).await;
         let response: Response<Incoming> = sent.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let (address, message) = (self.address, describe(error.error()));
--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 server over compio: accepts connections, serves each in a task of its own, and joins the tasks at the end.
 
 use std::{
-    cell::Cell,
+    any::Any,
+    cell::{Cell, RefCell},
     convert::Infallible,
     future::Future,
     io,
@@ -23,7 +24,7 @@
     service::service_fn,
 };
 
-use crate::read_meter::{MeteredStream, ReadMeter};
+use crate::read_meter::{MeteredStream, ReadMeter, ReserveMemory};
 
 /// Boxed body of a response. An error in it breaks the connection, so that the reader detects the incomplete body.
 pub type BoxedBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error>>>;
@@ -62,6 +63,7 @@
 pub struct RequestBody {
     incoming: Incoming,
     meter: ReadMeter,
+    _end: Rc<RequestEnded>,
 }
 
 impl Body for RequestBody {
@@ -100,16 +102,50 @@
 
 async fn collect(mut body: RequestBody, max_bytes: usize) -> Option<Bytes> {
     let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
+    let keep = |data: &[u8]| {
+        let has_room = collected.len() + data.len() <= max_bytes;
+        if has_room {
+            collected.extend_from_slice(data);
+        }
+        has_room
+    };
+    let end = read_body(&mut body, BODY_TIMEOUT, keep).await;
+    (end == BodyEnd::Whole).then(|| collected.freeze())
+}
+
+/// How reading a body ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// All of it was kept.
+    Whole,
+    /// Some bytes could not be kept.
+    NotKept,
+    /// The connection broke, or what came is no body.
+    Broken,
+    /// Nothing came for the timeout.
+    Silent,
+}
+
+/// Reads a body until its end, and gives its bytes to `keep` as they arrive, until that denies some.
+pub async fn read_body(
+    body: &mut RequestBody,
+    silence_timeout: Duration,
+    mut keep: impl FnMut(&[u8]) -> bool,
+) -> BodyEnd {
+    loop {
+        let Ok(frame) = compio::time::timeout(silence_timeout, body.frame()).await else {
+            return BodyEnd::Silent;
         };
-        if collected.len() + data.len() > max_bytes {
-            return None;
+        match frame {
+            None => return BodyEnd::Whole,
+            Some(Err(_)) => return BodyEnd::Broken,
+            Some(Ok(frame)) => {
+                if frame.data_ref().is_some_and(|data| !keep(data)) {
+                    return BodyEnd::NotKept;
+                }
+            }
         }
-        collected.extend_from_slice(&data);
     }
-    Some(collected.freeze())
 }
 
 /// Limits of each connection.
@@ -119,8 +155,12 @@
     pub max_head_bytes: usize,
     /// Maximum number of header fields.
     pub max_headers: usize,
-    /// Maximum time to receive a head, which is also the maximum idle time.
+    /// Maximum idle time, and time from the first connection to the end of a head.
     pub head_timeout: Duration,
+    /// Maximum time from the first byte of a head to its end.
+    pub head_arrival_timeout: Duration,
+    /// Size of each of the kernel's two buffers of a connection; `None` leaves it to the system.
+    pub socket_buffer_bytes: Option<usize>,
     /// Maximum time that a reader may leave a part of a response unread.
     pub write_timeout: Duration,
     /// Maximum number of simultaneous connections.
@@ -133,6 +173,8 @@
             max_head_bytes: 32 * 1024,
             max_headers: 64,
             head_timeout: Duration::from_secs(30),
+            head_arrival_timeout: Duration::from_secs(30),
+            socket_buffer_bytes: None,
             write_timeout: Duration::from_secs(30),
             max_connections: 10_000,
         }
@@ -177,6 +219,12 @@
     (StopHandle(Cell::new(Some(sender))), Stop(receiver.shared()))
 }
 
+/// Memory that the buffers of an open connection take: 8 KiB of the HTTP library, 8 KiB for each direction below it.
+pub const CONNECTION_BYTES: usize = 24 * 1024;
+
+/// Time after which a connection that has sent nothing is closed in favour of a new one when there are too many.
+const MIN_UNUSED_TIME: Duration = Duration::from_secs(1);
+
 /// HTTP server on one listener.
 pub struct HttpServer {
     /// The bound listener.
@@ -185,6 +233,80 @@
     pub limits: HttpLimits,
 }
 
+/// What the connections of a server may hold, asked for each new one.
+pub struct ConnectionBounds {
+    /// Limits of a connection.
+    pub limits: Box<dyn Fn() -> HttpLimits>,
+    /// Reserves memory for a connection or a large head.
+    pub reserve: ReserveMemory,
+}
+
+/// An open connection, as the server sees it.
+struct OpenConnection {
+    opened_at: Instant,
+    meter: ReadMeter,
+    has_sent_request: Cell<bool>,
+    close: StopHandle,
+    is_closing: Cell<bool>,
+    _memory: Box<dyn Any>,
+}
+
+/// Connections that were closed at once for lack of room, logged once a second.
+#[derive(Default)]
+struct Refusals {
+    count: u32,
+    logged_at: Option<Instant>,
+}
+
+impl Refusals {
+    const LOG_PERIOD: Duration = Duration::from_secs(1);
+
+    fn note(&mut self) {
+        self.count += 1;
+        let logged_at = self.logged_at;
+        if logged_at.is_none_or(|logged_at| logged_at.elapsed() >= Self::LOG_PERIOD) {
+            let (reason, count) = ("too_many_connections", self.count);
+            tracing::warn!(event = "connection_refused", reason, count);
+            *self = Self {
+                count: 0,
+                logged_at: Some(Instant::now()),
+            };
+        }
+    }
+}
+
+/// The open connections of a server, the oldest first.
+#[derive(Default)]
+struct OpenConnections(RefCell<Vec<Rc<OpenConnection>>>);
+
+impl OpenConnections {
+    fn count(&self) -> usize {
+        let open = self.0.borrow();
+        open.iter().filter(|one| !one.is_closing.get()).count()
+    }
+
+    /// Closes the oldest connection that has sent no request for some time; returns whether there was one. A client inside
+    /// the limits sends its request sooner, and loses nothing but a connection.
+    fn close_unused(&self) -> bool {
+        let open = self.0.borrow();
+        let unused = open.iter().find(|one| {
+            !one.is_closing.get()
+                && !one.has_sent_request.get()
+                && one.opened_at.elapsed() >= MIN_UNUSED_TIME
+        });
+        if let Some(unused) = unused {
+            unused.is_closing.set(true);
+            unused.close.stop();
+        }
+        unused.is_some()
+    }
+
+    fn remove(&self, connection: &Rc<OpenConnection>) {
+        let mut open = self.0.borrow_mut();
+        open.retain(|one| !Rc::ptr_eq(one, connection));
+    }
+}
+
 impl HttpServer {
     /// Serves until the stop is requested, then closes each connection after its running request.
     pub async fn serve<H, F>(self, handler: H, stop: Stop)
@@ -192,11 +314,26 @@
         H: Fn(Request<RequestBody>) -> F + 'static,
         F: Future<Output = Response<BoxedBody>> + 'static,
     {
-        let handler = Rc::new(handler);
         let limits = self.limits;
+        let bounds = ConnectionBounds {
+            limits: Box::new(move || limits),
+            reserve: Rc::new(|_| Some(Box::new(()))),
+        };
+        self.serve_within(handler, stop, bounds).await;
+    }
+
+    /// Serves as [`Self::serve`] does, within bounds that may change.
+    pub async fn serve_within<H, F>(self, handler: H, stop: Stop, bounds: ConnectionBounds)
+    where
+        H: Fn(Request<RequestBody>) -> F + 'static,
+        F: Future<Output = Response<BoxedBody>> + 'static,
+    {
+        let handler = Rc::new(handler);
+        let open = Rc::new(OpenConnections::default());
         let mut connections = FuturesUnordered::new();
         let mut incoming = self.listener.incoming().fuse();
         let mut stopped = pin!(stop.called().fuse());
+        let mut refusals = Refusals::default();
         loop {
             let accepted = futures_util::select! {
                 accepted = incoming.next() => accepted,
@@ -204,15 +341,32 @@
                 () = stopped => break,
             };
             match accepted {
-                Some(Ok(stream)) if connections.len() < limits.max_connections => {
-                    let connection =
-                        serve_connection(stream, Rc::clone(&handler), limits, stop.clone());
-                    connections.push(compio::runtime::spawn(connection));
+                Some(Ok(stream)) => {
+                    let limits = (bounds.limits)();
+                    let has_room = open.count() < limits.max_connections || open.close_unused();
+                    let memory = has_room.then(|| (bounds.reserve)(CONNECTION_BYTES));
+                    let Some(memory) = memory.flatten() else {
+                        refusals.note();
+                        continue;
+                    };
+                    let (close, closing) = stop_pair();
+                    let connection = Rc::new(OpenConnection {
+                        opened_at: Instant::now(),
+                        meter: ReadMeter::of_requests(Rc::clone(&bounds.reserve)),
+                        has_sent_request: Cell::new(false),
+                        close,
+                        is_closing: Cell::new(false),
+                        _memory: memory,
+                    });
+                    open.0.borrow_mut().push(Rc::clone(&connection));
+                    let (handler, stop) = (Rc::clone(&handler), stop.clone());
+                    let open = Rc::clone(&open);
+                    connections.push(compio::runtime::spawn(async move {
+                        serve_connection(stream, &connection, handler, limits, [stop, closing])
+                            .await;
+                        open.remove(&connection);
+                    }));
                 }
-                Some(Ok(_)) => tracing::warn!(
-                    event = "connection_refused",
-                    reason = "too_many_connections"
-                ),
                 Some(Err(error)) => tracing::warn!(event = "accept_failed", %error),
                 None => break,
             }
@@ -222,27 +376,63 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, handler: Rc<H>, limits: HttpLimits, stop: Stop)
-where
+/// Sets the sizes of a connection's buffers in the kernel. Without them the kernel keeps megabytes for a peer that sends
+/// faster than the process reads, or reads slower than it writes.
+pub fn set_socket_buffers(stream: &TcpStream, bytes: usize) {
+    let socket = socket2::SockRef::from(stream);
+    // The sizes only bound memory; the connection works without them.
+    let _ = socket.set_recv_buffer_size(bytes);
+    let _ = socket.set_send_buffer_size(bytes);
+}
+
+/// Waits until a head has been arriving for longer than the limit.
+async fn head_is_late(meter: &ReadMeter, limit: Duration) {
+    loop {
+        compio::time::sleep(limit / 2).await;
+        let began_at = meter.head_began_at();
+        if began_at.is_some_and(|began_at| began_at.elapsed() >= limit) {
+            return;
+        }
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    open: &Rc<OpenConnection>,
+    handler: Rc<H>,
+    limits: HttpLimits,
+    [stop, closing]: [Stop; 2],
+) where
     H: Fn(Request<RequestBody>) -> F + 'static,
     F: Future<Output = Response<BoxedBody>> + 'static,
 {
     // Nagle's algorithm would delay single tokens.
     let _ = stream.set_nodelay(true);
+    if let Some(bytes) = limits.socket_buffer_bytes {
+        set_socket_buffers(&stream, bytes);
+    }
     let unread_since = UnreadSince::default();
     let service_unread_since = unread_since.clone();
-    let meter = ReadMeter::default();
+    let meter = open.meter.clone();
     let service_meter = meter.clone();
+    let connection_open = Rc::clone(open);
     let service = service_fn(move |request: Request<Incoming>| {
+        connection_open.has_sent_request.set(true);
         service_unread_since.0.set(None);
         service_meter.begin_body();
+        let end = Rc::new(RequestEnded(service_meter.clone()));
         let response = handler(request.map(|incoming| RequestBody {
             incoming,
             meter: service_meter.clone(),
+            _end: Rc::clone(&end),
         }));
         let unread_since = service_unread_since.clone();
         async move {
-            let watch = |body| WatchedBody { body, unread_since };
+            let watch = |body| WatchedBody {
+                body,
+                unread_since,
+                _end: end,
+            };
             Ok::<_, Infallible>(response.await.map(watch))
         }
     });
@@ -251,9 +441,11 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(limits.max_headers)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(MeteredStream::new(stream, meter), service);
+        .serve_connection(MeteredStream::new(stream, meter.clone()), service);
     let mut connection = pin!(connection);
     let mut unread = pin!(unread_since.exceeds(limits.write_timeout).fuse());
+    let mut late = pin!(head_is_late(&meter, limits.head_arrival_timeout).fuse());
+    let mut closing = pin!(closing.called().fuse());
     let mut stopped = pin!(stop.called().fuse());
     let ended = loop {
         futures_util::select! {
@@ -262,6 +454,14 @@
                 tracing::info!(event = "connection_cut", reason = "response_not_read");
                 return;
             }
+            () = late => {
+                tracing::debug!(event = "connection_cut", reason = "head_not_sent");
+                return;
+            }
+            () = closing => {
+                tracing::debug!(event = "connection_cut", reason = "too_many_connections");
+                return;
+            }
             () = stopped => connection.as_mut().graceful_shutdown(),
         }
     };
@@ -270,6 +470,15 @@
     }
 }
 
+/// Records the end of a request when its body and its answer are dropped.
+struct RequestEnded(ReadMeter);
+
+impl Drop for RequestEnded {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
+}
+
 /// Moment since which the reader of a connection has left a part of a response unread; `None` if there is no such part.
 #[derive(Clone, Default)]
 struct UnreadSince(Rc<Cell<Option<Instant>>>);
@@ -290,6 +499,7 @@
 struct WatchedBody {
     body: BoxedBody,
     unread_since: UnreadSince,
+    _end: Rc<RequestEnded>,
 }
 
 impl Body for WatchedBody {
--- a/crates/camphorwall/src/lib.rs
+++ b/crates/camphorwall/src/lib.rs
@@ -27,8 +27,9 @@
 };
 pub use files::{FileError, document_files, read_json_with_comments};
 pub use http::{
-    BoxedBody, HttpLimits, HttpServer, RequestBody, Stop, StopHandle, collect_body, empty_body,
-    full_body, json_response, stop_pair, stream_body,
+    BodyEnd, BoxedBody, CONNECTION_BYTES, ConnectionBounds, HttpLimits, HttpServer, RequestBody,
+    Stop, StopHandle, collect_body, empty_body, full_body, json_response, read_body,
+    set_socket_buffers, stop_pair, stream_body,
 };
 pub use ids::{
     AdapterId, DataCentreId, EndpointId, IdError, InstanceId, KeyDigest, ModelId, ModelVersion,
@@ -43,7 +44,7 @@
     Instance, InstanceRole, InstanceState, Item, ItemId, KeptItem, Key, Link, Published, Route,
     RouteKind, Service, cross_check,
 };
-pub use read_meter::{MeteredStream, ReadMeter};
+pub use read_meter::{MeteredStream, ReadMeter, ReserveMemory};
 pub use rendezvous::{rendezvous_rank, rendezvous_winner};
 pub use request_end::RequestEnd;
 pub use rpc::{PeerResponse, RpcClient, RpcError, RpcServer};
--- a/crates/camphorwall/src/read_meter.rs
+++ b/crates/camphorwall/src/read_meter.rs
@@ -2,14 +2,17 @@
 //!
 //! The HTTP library reads within one poll for as long as the socket has bytes, and skips some of them without a limit, such as
 //! interim heads and the blanks behind a chunk's size. All tasks of a process share one thread, so that such a peer would
-//! stop them all.
+//! stop them all. Heads that are still arriving count towards the process's memory, and writes are limited too, since the
+//! stream below copies all that it is given.
 
 use std::{
-    cell::Cell,
-    io,
+    any::Any,
+    cell::{Cell, RefCell},
+    fmt, io,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Instant,
 };
 
 use compio::net::TcpStream;
@@ -22,6 +25,18 @@
 /// Maximum number of bytes that one read returns.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Maximum number of bytes that one write takes. The stream's buffer grows to what it is given and never shrinks.
+const WRITE_BYTES: usize = 8 * 1024;
+
+/// Size of a head up to which it fits into the buffers that each connection has.
+const USUAL_HEAD_BYTES: usize = 4 * 1024;
+
+/// Memory that a longer head takes: the HTTP library reads up to 32 KiB of it and doubles its buffer on the way.
+const LARGE_HEAD_BYTES: usize = 48 * 1024;
+
+/// Reserves memory of the process, which is free again once the result is dropped; `None` if there is too little.
+pub type ReserveMemory = Rc<dyn Fn(usize) -> Option<Box<dyn Any>>>;
+
 /// Bytes of a message that may be received beyond twice its body: framing of chunks, and what was read ahead.
 const MAX_EXTRA_BYTES: usize = 128 * 1024;
 
@@ -40,6 +55,52 @@
     awaits_head: Cell<bool>,
     /// Bytes received since the reading task last yielded.
     turn_bytes: Cell<usize>,
+    heads: Option<Heads>,
+}
+
+/// Heads of the requests that a connection receives.
+struct Heads {
+    reserve: ReserveMemory,
+    /// Memory of a large head.
+    memory: RefCell<Option<Box<dyn Any>>>,
+    /// Bytes of the head that is arriving.
+    bytes: Cell<usize>,
+    /// When its first byte came; `None` before.
+    began_at: Cell<Option<Instant>>,
+    /// Whether a request is being served.
+    is_serving: Cell<bool>,
+    /// Whether there was no memory for a head.
+    is_refused: Cell<bool>,
+}
+
+impl fmt::Debug for Heads {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Heads").finish_non_exhaustive()
+    }
+}
+
+impl Heads {
+    fn note_received(&self, bytes: usize) {
+        if self.is_serving.get() {
+            return;
+        }
+        self.bytes.set(self.bytes.get() + bytes);
+        if self.began_at.get().is_none() {
+            self.began_at.set(Some(Instant::now()));
+        }
+        let is_large = self.bytes.get() > USUAL_HEAD_BYTES;
+        if is_large && self.memory.borrow().is_none() {
+            let memory = (self.reserve)(LARGE_HEAD_BYTES);
+            self.is_refused.set(memory.is_none());
+            self.memory.replace(memory);
+        }
+    }
+
+    fn begin_request(&self) {
+        self.is_serving.set(true);
+        self.bytes.set(0);
+        self.began_at.set(None);
+    }
 }
 
 impl ReadMeter {
@@ -51,11 +112,51 @@
         meter
     }
 
+    /// Counts the bytes of requests, and reserves memory for large heads.
+    #[must_use]
+    pub fn of_requests(reserve: ReserveMemory) -> Self {
+        Self(Rc::new(Counters {
+            heads: Some(Heads {
+                reserve,
+                memory: RefCell::default(),
+                bytes: Cell::default(),
+                began_at: Cell::default(),
+                is_serving: Cell::default(),
+                is_refused: Cell::default(),
+            }),
+            ..Counters::default()
+        }))
+    }
+
+    /// When the first byte of the head came that is arriving; `None` if none is.
+    #[must_use]
+    pub fn head_began_at(&self) -> Option<Instant> {
+        self.0.heads.as_ref()?.began_at.get()
+    }
+
+    /// Whether a request is being served.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        let heads = self.0.heads.as_ref();
+        heads.is_some_and(|heads| heads.is_serving.get())
+    }
+
+    /// Records that the answer to a request has ended.
+    pub fn end_request(&self) {
+        if let Some(heads) = &self.0.heads {
+            heads.is_serving.set(false);
+            heads.memory.take();
+        }
+    }
+
     /// Starts to count the body of another message, whose head has come.
     pub fn begin_body(&self) {
         self.0.received_bytes.set(0);
         self.0.body_bytes.set(0);
         self.0.awaits_head.set(false);
+        if let Some(heads) = &self.0.heads {
+            heads.begin_request();
+        }
     }
 
     /// Records bytes of the message's body that the reader has taken.
@@ -69,6 +170,9 @@
             .received_bytes
             .set(counters.received_bytes.get() + bytes);
         counters.turn_bytes.set(counters.turn_bytes.get() + bytes);
+        if let Some(heads) = &counters.heads {
+            heads.note_received(bytes);
+        }
     }
 
     fn has_used_turn(&self) -> bool {
@@ -81,6 +185,11 @@
 
     /// Fails once too few of the received bytes turn out to be a body.
     fn check(&self) -> io::Result<()> {
+        let heads = self.0.heads.as_ref();
+        if heads.is_some_and(|heads| heads.is_refused.get()) {
+            let message = "there is no memory for a large head; the caller can send it again";
+            return Err(io::Error::new(io::ErrorKind::OutOfMemory, message));
+        }
         let (received, body) = (self.0.received_bytes.get(), self.0.body_bytes.get());
         let message = if self.0.awaits_head.get() {
             if received <= MAX_HEADS_BYTES {
@@ -152,15 +261,17 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let bytes = &bytes[..bytes.len().min(WRITE_BYTES)];
         Write::poll_write(Pin::new(&mut self.stream), context, bytes)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write_vectored(Pin::new(&mut self.stream), context, buffers)
+        let first = buffers.iter().find(|buffer| !buffer.is_empty());
+        self.poll_write(context, first.map_or(&[], |buffer| buffer))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -10,6 +10,8 @@
     Answered,
     /// The bodies of active requests fill the part of the memory that the entry allows for bodies.
     BodiesFillMemory,
+    /// The caller sent the body too slowly.
+    BodyStalled,
     /// The body was larger than allowed or incomplete.
     BodyTooLargeOrBroken,
     /// The endpoint closed its answer before the end, and no other endpoint could or may continue it.
@@ -79,7 +81,10 @@
                 "the complete answer was delivered; if it was late, compare first_ms and the wait times"
             }
             Self::BodiesFillMemory => {
-                "bodies of other requests fill a quarter of the memory; check the number of active requests"
+                "connections, bodies and answers fill the half of the memory that is lent to them; check memory_held_bytes and the number of active requests"
+            }
+            Self::BodyStalled => {
+                "the caller stopped sending the body, or sent it until after the request's deadline"
             }
             Self::BodyTooLargeOrBroken => {
                 "the body is larger than the published limit, or the caller did not send it completely"
