Keep at most 1,024 addresses of peers

What callers saw: nothing yet. Anybody who can send datagrams to an entry's peer address could make it keep any number of addresses, from their own or from those that a heartbeat reports. Found while going through what counts towards no bound.

Change: beyond 1,024 known addresses, about three times the largest fleet, further ones are not kept; the same holds for those that said goodbye. There is no test of its own; the tests of peers pass.

--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -47,6 +47,9 @@
 /// Maximum number of peer addresses in a heartbeat.
 const MAX_REPORTED_PEERS: usize = 16;
 
+/// Maximum number of known peers, about three times the largest fleet. Anybody who can send datagrams may report more.
+const MAX_KNOWN_PEERS: usize = 1_024;
+
 /// Number of goodbyes that a stopping entry sends to each peer, since datagrams may be lost.
 const GOODBYE_COUNT: u32 = 3;
 
@@ -263,7 +266,9 @@
         incarnation: u64,
         now: Moment,
     ) {
-        self.departed.insert(address, (incarnation, now));
+        if self.departed.len() < MAX_KNOWN_PEERS {
+            self.departed.insert(address, (incarnation, now));
+        }
         let is_same = |peer: &Peer| peer.incarnation == Some(incarnation);
         if self.known.get(&address).is_some_and(is_same) {
             tracing::info!(event = "peer_ended", %address);
@@ -422,10 +427,16 @@
     for address in heartbeat.peers {
         // A reported address counts as known from now on, but no heartbeat has come from it yet.
         let is_new = !peers.known.contains_key(&address) && !peers.departed.contains_key(&address);
-        if address != local_address && address.port() == local_address.port() && is_new {
+        let has_room = peers.known.len() < MAX_KNOWN_PEERS;
+        if address != local_address && address.port() == local_address.port() && is_new && has_room
+        {
             peers.known.insert(address, Peer::not_yet_seen(now));
         }
     }
+    if peers.known.len() >= MAX_KNOWN_PEERS && !peers.known.contains_key(&from) {
+        tracing::debug!(event = "peer_not_kept", %from);
+        return;
+    }
     let peer = peers.known.entry(from).or_insert(Peer::not_yet_seen(now));
     if now.since(peer.last_seen_at) > SILENT_AFTER {
         // While the peer was silent, its share was withheld; what it charged in that time must not count again.
