Serve a head that was whole when its memory was refused

What callers saw: nothing yet, found by reading. A head above 4 KiB that arrived with its last bytes while memory was short was passed on, but its connection was marked as failing, so the next read would have closed it without an answer.

Change: a request that begins clears the mark; its head is in buffers that the connection has anyway. There is no test of its own: the order of bytes within one read can't be chosen from outside. The 182 tests of whole_path pass.

--- a/crates/camphorwall/src/read_meter.rs
+++ b/crates/camphorwall/src/read_meter.rs
@@ -98,6 +98,8 @@
 
     fn begin_request(&self) {
         self.is_serving.set(true);
+        // A head that was whole before it was refused is served: its connection must not fail under the request.
+        self.is_refused.set(false);
         self.bytes.set(0);
         self.began_at.set(None);
     }
