Count discarded bodies, incomplete events and answers to prefills

What callers saw: nothing; memory that belonged to no account. 1,200 unfinished trailers took up to 35,576 KiB of 40,550 allowed, since refused requests whose bodies are discarded counted only as connections. 64 KiB of an incomplete event or of a prefill's answer counted for each request as nothing.

Change: a discarded body takes 40 KiB of the account, even beyond its limit, so that others yield. Above 4 KiB, incomplete events and answers to prefills are reserved; without room they end as oversized ones do.

--- a/crates/camphorwall-direct/src/request_body.rs
+++ b/crates/camphorwall-direct/src/request_body.rs
@@ -29,6 +29,9 @@
 /// Maximum time for which the body of a refused request is read and discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Memory of a refused request whose body is discarded: what the kernel keeps, and the HTTP library of trailers.
+const DISCARD_BYTES: usize = 40 * 1024;
+
 /// Maximum time without bytes of a discarded body.
 const DISCARD_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -110,7 +113,10 @@
     if head.contains_key(header::EXPECT) {
         return;
     }
+    let mut memory = entry.memory.share();
+    memory.grow_anyway_to(DISCARD_BYTES, Moment::now());
     entry.tasks.spawn(async move {
+        let _held = memory;
         let reading = read_body(&mut body, DISCARD_SILENCE_TIMEOUT, |_| true);
         // Nothing depends on how the body ends.
         let _ = compio::time::timeout(DISCARD_TIMEOUT, reading).await;
--- a/crates/camphorwall-direct/src/serve/events.rs
+++ b/crates/camphorwall-direct/src/serve/events.rs
@@ -70,6 +70,11 @@
         Ok(events)
     }
 
+    /// Number of bytes of the incomplete event.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.held.len()
+    }
+
     /// Whether the bytes so far end inside an event.
     pub(crate) fn is_inside_event(&self) -> bool {
         !self.held.trim_ascii().is_empty()
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -183,7 +183,8 @@
     };
     let facts = (entry.dialect.answer_facts)(&answer.parts);
     note_answer_head(entry, endpoint, answer.parts.status, &facts);
-    let body = answer.body.collect(MAX_PREFILL_BYTES).await;
+    let mut memory = entry.memory.share();
+    let body = answer.body.collect(MAX_PREFILL_BYTES, &mut memory).await;
     let body = match body {
         Ok(body) => body,
         Err(error) => {
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -23,6 +23,7 @@
         stall::{Pauses, has_stood_still},
     },
     entry::Entry,
+    memory_pool::MemoryShare,
     request::Admitted,
     request_log::RequestLog,
     serve::{
@@ -448,6 +449,9 @@
     ))
 }
 
+/// Size up to which an incomplete event is held even if the memory is full; token events have some hundred bytes.
+const USUAL_EVENT_BYTES: usize = 4 * 1024;
+
 /// Passes a stream on to the caller, and resumes it at another endpoint when it breaks.
 struct StreamRelay {
     entry: Rc<Entry>,
@@ -456,6 +460,8 @@
     status: StatusCode,
     is_event_stream: bool,
     splitter: EventSplitter,
+    /// Memory of the largest incomplete event so far.
+    event_memory: MemoryShare,
     event_tokens: u32,
     last_event_id: Option<u64>,
     /// Events that have reached the caller.
@@ -492,6 +498,7 @@
         status: parts.status,
         is_event_stream: is_event_stream(&parts),
         splitter: EventSplitter::default(),
+        event_memory: entry.memory.share(),
         event_tokens: event_tokens.unwrap_or(0),
         last_event_id: None,
         events: 0,
@@ -533,6 +540,12 @@
                     let Ok(events) = self.splitter.push(&bytes) else {
                         return Some(Err(self.cut_oversized_event()));
                     };
+                    let held_bytes = self.splitter.held_bytes();
+                    if !self.event_memory.grow_answer_to(held_bytes)
+                        && held_bytes > USUAL_EVENT_BYTES
+                    {
+                        return Some(Err(self.cut_oversized_event()));
+                    }
                     if events.bytes.is_empty() {
                         continue;
                     }
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use snafu::Snafu;
 
-use crate::blocks::Blocks;
+use crate::{blocks::Blocks, memory_pool::MemoryShare};
 
 /// Timeout of setting up a connection; with a reachable endpoint this takes one or two round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -24,6 +24,10 @@
 /// read; with the system's sizes that is up to 6 MiB for each answer.
 const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Size up to which an answer that must be whole is read even if the memory is full: its request is admitted, and the memory
+/// of that covers it.
+const USUAL_ANSWER_BYTES: usize = 4 * 1024;
+
 /// A request that got no answer.
 #[derive(Debug, Snafu)]
 pub(crate) enum SendError {
@@ -88,14 +92,23 @@
         })
     }
 
-    /// Reads the rest; fails if it has more than `max_bytes`.
-    pub(crate) async fn collect(&mut self, max_bytes: usize) -> io::Result<Bytes> {
-        let start = self.read_start(|bytes| bytes <= max_bytes).await?;
+    /// Reads the rest; fails if it has more than `max_bytes` or there is no memory for it.
+    pub(crate) async fn collect(
+        &mut self,
+        max_bytes: usize,
+        memory: &mut MemoryShare,
+    ) -> io::Result<Bytes> {
+        let start = self
+            .read_start(|bytes| {
+                let is_usual = bytes <= USUAL_ANSWER_BYTES;
+                bytes <= max_bytes && (is_usual || memory.grow_answer_to(bytes))
+            })
+            .await?;
         if start.is_complete {
             Ok(start.bytes)
         } else {
             Err(io::Error::other(
-                "the answer is larger than its call allows",
+                "the answer is larger than its call or the memory allows",
             ))
         }
     }
