--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -103,6 +103,8 @@
     pub(crate) evacuated_centres: usize,
     pub(crate) reads_store: bool,
     pub(crate) log_lines_dropped: u64,
+    pub(crate) memory_held_bytes: usize,
+    pub(crate) memory_limit_bytes: usize,
 }
 
 /// Metrics of one entry.
@@ -132,6 +134,8 @@
     evacuated_centres: Gauge<u64, AtomicU64>,
     reads_store: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
+    memory_held_bytes: Gauge<u64, AtomicU64>,
+    memory_limit_bytes: Gauge<u64, AtomicU64>,
 }
 
 fn phase_histogram() -> Histogram {
@@ -181,6 +185,8 @@
             evacuated_centres: Gauge::default(),
             reads_store: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            memory_held_bytes: Gauge::default(),
+            memory_limit_bytes: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -299,6 +305,16 @@
             "Log lines that found the ring full",
             &self.log_lines_dropped,
         );
+        gauge(
+            "memory_held_bytes",
+            "Memory reserved for connections, bodies and answers",
+            &self.memory_held_bytes,
+        );
+        gauge(
+            "memory_limit_bytes",
+            "Memory that may be reserved",
+            &self.memory_limit_bytes,
+        );
     }
 
     fn register_configuration(&self) {
@@ -425,6 +441,9 @@
         self.evacuated_centres.set(gauges.evacuated_centres as u64);
         self.reads_store.set(u64::from(gauges.reads_store));
         self.log_lines_dropped.set(gauges.log_lines_dropped);
+        self.memory_held_bytes.set(gauges.memory_held_bytes as u64);
+        self.memory_limit_bytes
+            .set(gauges.memory_limit_bytes as u64);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry.borrow()) {
             tracing::warn!(event = "metrics_not_encoded", %error);
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use camphorwall::RequestEnd;
 use http::StatusCode;
 
@@ -14,6 +13,7 @@
         return_queue::choose_in_turn,
         speeds::ms,
     },
+    blocks::Blocks,
     clock::Moment,
     configuration::{Endpoint, Stage},
     dialect::KvHandle,
@@ -205,7 +205,7 @@
     entry: &Rc<Entry>,
     admitted: &Admitted,
     endpoint: &Endpoint,
-    request: http::Request<Bytes>,
+    request: http::Request<Blocks>,
 ) -> PrefillOutcome {
     let connected = Connection::open(endpoint.address).await;
     if !entry.may_send(endpoint, &admitted.homes) {
@@ -234,7 +234,8 @@
     if answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
         entry.undo_send(endpoint, sent_at);
     }
-    let body = answer.body.collect(MAX_PREFILL_BYTES).await;
+    let mut memory = entry.memory.share();
+    let body = answer.body.collect(MAX_PREFILL_BYTES, &mut memory).await;
     let body = match body {
         Ok(body) => body,
         Err(error) => {
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -359,7 +359,7 @@
     };
     let evacuations_known = entry.registry.borrow().evacuations.revision();
     let path = relay::changes_path(after, evacuations_known.unwrap_or(0), wait);
-    let body = call_reader(reader, &path, wait).await?;
+    let body = call_reader(entry, reader, &path, wait).await?;
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
     let received_at = Moment::now();
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -3,20 +3,31 @@
 //! No connection is reused: a late or extra answer can't be taken for that of the next request, and no request is lost
 //! on a connection that was closed or became unreachable while idle.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
-use camphorwall::{MeteredStream, ReadMeter};
+use camphorwall::{MeteredStream, ReadMeter, set_socket_buffers};
 use compio::{net::TcpStream, runtime::JoinHandle};
 use http::header;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::BodyExt as _;
 use hyper::{
     Request, Response,
-    body::{Body as _, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
     client::conn::http1,
 };
 use snafu::Snafu;
 
+use crate::{blocks::Blocks, memory_pool::MemoryShare};
+
 /// Timeout of setting up a connection; with a reachable endpoint this takes one or two round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -25,6 +36,13 @@
 
 /// Highest status that HTTP defines. The HTTP library rejects statuses below 100 and accepts any other of three digits.
 const MAX_STATUS: u16 = 599;
+/// Size of each of the kernel's two buffers of a connection. They hold what an endpoint sends while the caller does not
+/// read; with the system's sizes that is up to 6 MiB for each answer.
+const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Size up to which an answer that must be whole is read even if the memory is full: its request is admitted, and the memory
+/// of that covers it.
+const USUAL_ANSWER_BYTES: usize = 4 * 1024;
 
 /// A request that got no answer.
 #[derive(Debug, Snafu)]
@@ -55,6 +73,8 @@
     meter: ReadMeter,
     /// Whether the end of the connection is the only end of the body.
     ends_with_connection: bool,
+    /// Whether the HTTP library has taken the whole body of the request.
+    is_request_taken: Rc<Cell<bool>>,
     /// Dropping the handle ends the task, which closes the connection.
     _connection: JoinHandle<()>,
 }
@@ -71,7 +91,8 @@
                 return Ok(Some(data));
             }
         }
-        if self.ends_with_connection && !self.meter.has_sent_all() {
+        let is_sent = self.is_request_taken.get() && self.meter.has_sent_all();
+        if self.ends_with_connection && !is_sent {
             return Err(io::Error::new(
                 io::ErrorKind::ConnectionReset,
                 "the connection ended before the request was sent; the answer may be incomplete",
@@ -101,14 +122,23 @@
         })
     }
 
-    /// Reads the rest; fails if it has more than `max_bytes`.
-    pub(crate) async fn collect(&mut self, max_bytes: usize) -> io::Result<Bytes> {
-        let start = self.read_start(|bytes| bytes <= max_bytes).await?;
+    /// Reads the rest; fails if it has more than `max_bytes` or there is no memory for it.
+    pub(crate) async fn collect(
+        &mut self,
+        max_bytes: usize,
+        memory: &mut MemoryShare,
+    ) -> io::Result<Bytes> {
+        let start = self
+            .read_start(|bytes| {
+                let is_usual = bytes <= USUAL_ANSWER_BYTES;
+                bytes <= max_bytes && (is_usual || memory.grow_answer_to(bytes))
+            })
+            .await?;
         if start.is_complete {
             Ok(start.bytes)
         } else {
             Err(io::Error::other(
-                "the answer is larger than its call allows",
+                "the answer is larger than its call or the memory allows",
             ))
         }
     }
@@ -120,10 +150,48 @@
     pub(crate) is_complete: bool,
 }
 
+/// Body of a request that records when the HTTP library has taken all of it.
+struct TrackedBody {
+    blocks: Blocks,
+    is_taken: Rc<Cell<bool>>,
+}
+
+impl TrackedBody {
+    fn new(blocks: Blocks, is_taken: &Rc<Cell<bool>>) -> Self {
+        is_taken.set(blocks.is_end_stream());
+        Self {
+            blocks,
+            is_taken: Rc::clone(is_taken),
+        }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let polled = Pin::new(&mut self.blocks).poll_frame(context);
+        self.is_taken.set(self.blocks.is_end_stream());
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.blocks.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.blocks.size_hint()
+    }
+}
+
 /// An open connection on which nothing has been sent yet.
 pub(crate) struct Connection {
     address: SocketAddr,
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<TrackedBody>,
     meter: ReadMeter,
     task: JoinHandle<()>,
 }
@@ -143,6 +211,7 @@
         };
         // With Nagle's algorithm on, a small request may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
+        set_socket_buffers(&stream, SOCKET_BUFFER_BYTES);
         let meter = ReadMeter::of_answer();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -165,8 +234,13 @@
     /// Sends a request and waits for the head of its answer.
     ///
     /// The connection may have ended since it was opened; a request that it didn't begin to write was not sent.
-    pub(crate) async fn send(mut self, request: Request<Bytes>) -> Result<Answer, SendError> {
-        let sent = self.sender.try_send_request(request.map(Full::new)).await;
+    pub(crate) async fn send(
+        mut self,
+        request: Request<impl Into<Blocks>>,
+    ) -> Result<Answer, SendError> {
+        let is_request_taken = Rc::new(Cell::new(false));
+        let request = request.map(|body| TrackedBody::new(body.into(), &is_request_taken));
+        let sent = self.sender.try_send_request(request).await;
         let response: Response<Incoming> = sent.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let (address, message) = (self.address, describe(error.error()));
@@ -189,6 +263,7 @@
                 && incoming.size_hint().exact().is_none(),
             incoming,
             meter: self.meter,
+            is_request_taken,
             _connection: self.task,
         };
         Ok(Answer { parts, body })
--- a/crates/camphorwall-direct/src/upstream_tests.rs
+++ b/crates/camphorwall-direct/src/upstream_tests.rs
@@ -55,7 +55,8 @@
             // The reset overtook the head.
             continue;
         };
-        let collected = answer.body.collect(REQUEST_BYTES).await;
+        let collected = answer.body.read_start(|_| true).await;
+        let collected = collected.map(|start| start.bytes.len());
         assert!(collected.is_err(), "attempt {attempt}: {collected:?}");
     }
 }
