--- a/crates/camphorwall-direct/src/dialect.rs
+++ b/crates/camphorwall-direct/src/dialect.rs
@@ -86,6 +86,8 @@
     pub list_path: fn(prefix: &str, after: Option<&str>) -> String,
     /// Builds the path and query that wait for changes with a key prefix, after a revision.
     pub watch_path: fn(prefix: &str, after: u64, wait: Duration) -> String,
+    /// Reads from the head of an answer how often the store has been restored from a copy; `None` if it doesn't say.
+    pub era: fn(&HeaderMap) -> Result<Option<u64>, String>,
     /// Parses a page of a list.
     pub page: fn(&[u8]) -> Result<Page, String>,
     /// Parses the answer to a wait for changes.
@@ -169,6 +171,51 @@
     pub retry_after: Option<Result<Duration, Box<str>>>,
 }
 
+/// A revision of the store.
+///
+/// A store that is restored from a copy begins a new era. Its revisions go back and are issued again, so numbers compare
+/// only within an era. All revisions of an era come after those of earlier eras, which prove nothing in it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StoreRevision {
+    /// Number of times the store has been restored; 0 for a store that doesn't say.
+    pub era: u64,
+    /// Number that the store gave.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// The same number in another era, in which an answer of the store came.
+    #[must_use]
+    pub(crate) const fn in_era(self, era: u64) -> Self {
+        Self { era, ..self }
+    }
+
+    /// The revision before this one.
+    #[must_use]
+    pub(crate) const fn before(self) -> Self {
+        Self {
+            number: self.number.saturating_sub(1),
+            ..self
+        }
+    }
+}
+
+/// A revision of a store that has not been restored.
+impl From<u64> for StoreRevision {
+    fn from(number: u64) -> Self {
+        Self { era: 0, number }
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        match self.era {
+            0 => write!(formatter, "{}", self.number),
+            era => write!(formatter, "{era}.{}", self.number),
+        }
+    }
+}
+
 /// A page of the store's items.
 #[derive(Debug)]
 pub struct Page {
@@ -177,7 +224,19 @@
     /// Whether another page follows.
     pub has_more: bool,
     /// Revision of the store.
-    pub revision: u64,
+    pub revision: StoreRevision,
+}
+
+impl Page {
+    /// The page as an answer in an era of the store.
+    #[must_use]
+    pub(crate) fn in_era(self, era: u64) -> Self {
+        Self {
+            items: items_in_era(self.items, era),
+            revision: self.revision.in_era(era),
+            ..self
+        }
+    }
 }
 
 /// Changes since a revision.
@@ -186,7 +245,27 @@
     /// Changes in order.
     pub items: Vec<StoreItem>,
     /// Revision from which the next call continues.
-    pub revision: u64,
+    pub revision: StoreRevision,
+}
+
+impl Changes {
+    /// The changes as an answer in an era of the store.
+    #[must_use]
+    pub(crate) fn in_era(self, era: u64) -> Self {
+        Self {
+            items: items_in_era(self.items, era),
+            revision: self.revision.in_era(era),
+        }
+    }
+}
+
+fn items_in_era(items: Vec<StoreItem>, era: u64) -> Vec<StoreItem> {
+    let items = items.into_iter();
+    let in_era = |item: StoreItem| StoreItem {
+        revision: item.revision.in_era(era),
+        ..item
+    };
+    items.map(in_era).collect()
 }
 
 /// An item of the store as it was written, or its removal.
@@ -197,5 +276,5 @@
     /// Content; none if the item was removed.
     pub value: Option<Bytes>,
     /// Revision of the store at which the item changed.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
--- a/crates/camphorwall-direct/src/endpoints/registry.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::Moment,
     configuration::{Configuration, Endpoint, EndpointIncarnation, KeysDigest, Stage},
+    dialect::StoreRevision,
     endpoints::store_contact::StoreContact,
     names::{EndpointName, ServiceName},
 };
@@ -19,7 +20,7 @@
 #[derive(Debug)]
 struct Registration {
     endpoint: Rc<Endpoint>,
-    revision: u64,
+    revision: StoreRevision,
     /// Whether the store has lacked it since an outage.
     has_expired: bool,
 }
@@ -29,7 +30,7 @@
 pub(crate) struct Registry {
     configuration: Option<Rc<Configuration>>,
     /// Revision of the store at which the configuration in force was written.
-    configuration_revision: u64,
+    configuration_revision: StoreRevision,
     keys_digest: KeysDigest,
     proved_at: Option<Moment>,
     /// Moment up to which no key is known to have been withdrawn. Later than `proved_at` if a newer configuration is known
@@ -37,7 +38,7 @@
     keys_proved_at: Option<Moment>,
     registrations: HashMap<EndpointName, Registration>,
     /// Revisions of removals, so that a page of an older list doesn't bring an endpoint back.
-    removed_at: HashMap<EndpointName, u64>,
+    removed_at: HashMap<EndpointName, StoreRevision>,
     pub(crate) contact: StoreContact,
 }
 
@@ -67,7 +68,7 @@
 
     /// Revision of the store at which the configuration in force was written; 0 without one.
     #[must_use]
-    pub(crate) fn configuration_revision(&self) -> u64 {
+    pub(crate) fn configuration_revision(&self) -> StoreRevision {
         self.configuration_revision
     }
 
@@ -82,8 +83,9 @@
     pub(crate) fn apply_configuration(
         &mut self,
         configuration: Configuration,
-        revision: u64,
+        revision: impl Into<StoreRevision>,
     ) -> bool {
+        let revision = revision.into();
         let in_force = self.configuration.as_ref();
         let is_newer = in_force.is_none_or(|current| {
             let in_force = (current.version, self.configuration_revision);
@@ -108,6 +110,12 @@
         self.keys_proved_at = self.keys_proved_at.max(Some(moment));
     }
 
+    /// Withdraws the proofs: a newer configuration was published that the store has lost.
+    pub(crate) fn withdraw_proofs(&mut self) {
+        self.proved_at = None;
+        self.keys_proved_at = None;
+    }
+
     /// Whether keys may be trusted: a key must not be served once the bound has passed since its withdrawal.
     #[must_use]
     pub(crate) fn keys_are_fresh(&self, now: Moment, key_withdrawal: Duration) -> bool {
@@ -130,8 +138,13 @@
     }
 
     /// Applies a registration.
-    pub(crate) fn register(&mut self, endpoint: Endpoint, revision: u64) -> EndpointChange {
-        let is_outdated = |known: u64| known >= revision;
+    pub(crate) fn register(
+        &mut self,
+        endpoint: Endpoint,
+        revision: impl Into<StoreRevision>,
+    ) -> EndpointChange {
+        let revision = revision.into();
+        let is_outdated = |known: StoreRevision| known >= revision;
         let removed_at = self.removed_at.get(&endpoint.id).copied();
         let known = self.registrations.get(&endpoint.id);
         if removed_at.is_some_and(is_outdated)
@@ -161,9 +174,10 @@
     pub(crate) fn remove(
         &mut self,
         id: &EndpointName,
-        revision: u64,
+        revision: impl Into<StoreRevision>,
         now: Moment,
     ) -> EndpointChange {
+        let revision = revision.into();
         let is_in_doubt = self.contact.is_in_doubt(revision, now);
         let Some(known) = self.registrations.get_mut(id) else {
             return EndpointChange::Unchanged;
@@ -185,9 +199,10 @@
     pub(crate) fn keep_only(
         &mut self,
         listed: &[EndpointName],
-        revision: u64,
+        revision: impl Into<StoreRevision>,
         now: Moment,
     ) -> Vec<(EndpointName, EndpointChange)> {
+        let revision = revision.into();
         let missing: Vec<_> = self
             .registrations
             .keys()
--- a/crates/camphorwall-direct/src/endpoints/store_contact.rs
+++ b/crates/camphorwall-direct/src/endpoints/store_contact.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::clock::Moment;
+use crate::{clock::Moment, dialect::StoreRevision};
 
 /// Time after the end of an outage in which a missing registration counts as expired rather than as removed. A living endpoint
 /// registers again within two seconds of the store's return.
@@ -32,7 +32,7 @@
     failing_since: Option<Moment>,
     outage_ended_at: Option<Moment>,
     /// Revision up to which an entry with a sound way to the store has seen all changes.
-    sound_revision: u64,
+    sound_revision: StoreRevision,
 }
 
 impl StoreContact {
@@ -71,13 +71,21 @@
         self.answered_at = Some(now);
     }
 
+    /// Records that the store has been restored from a copy. Registrations that were written since the copy are missing
+    /// until their endpoints write them again, as after an outage.
+    pub(crate) fn note_restored(&mut self, now: Moment) {
+        self.failing_since = None;
+        self.outage_ended_at = Some(now);
+        self.answered_at = Some(now);
+    }
+
     /// Records that an entry with a sound way to the store has seen all changes up to a revision.
-    pub(crate) fn note_sound_revision(&mut self, revision: u64) {
-        self.sound_revision = self.sound_revision.max(revision);
+    pub(crate) fn note_sound_revision(&mut self, revision: impl Into<StoreRevision>) {
+        self.sound_revision = self.sound_revision.max(revision.into());
     }
 
     /// Records the revision up to which an answer of the store contains all changes.
-    pub(crate) fn note_known_revision(&mut self, revision: u64, now: Moment) {
+    pub(crate) fn note_known_revision(&mut self, revision: impl Into<StoreRevision>, now: Moment) {
         let is_settled = self
             .first_answered_at
             .is_some_and(|at| now.since(at) >= RECOVERY_PERIOD);
@@ -87,7 +95,7 @@
     }
 
     /// Highest revision up to which an entry with a sound way to the store has seen all changes.
-    pub(crate) const fn sound_revision(&self) -> u64 {
+    pub(crate) const fn sound_revision(&self) -> StoreRevision {
         self.sound_revision
     }
 
@@ -103,8 +111,11 @@
     }
 
     /// Whether a registration that is missing at a revision may have expired.
-    pub(crate) fn is_in_doubt(&self, revision: u64, now: Moment) -> bool {
-        revision > self.sound_revision && self.is_recovering(now)
+    pub(crate) fn is_in_doubt(&self, revision: impl Into<StoreRevision>, now: Moment) -> bool {
+        let revision = revision.into();
+        let sound = self.sound_revision;
+        let is_known = revision.era == sound.era && revision <= sound;
+        !is_known && self.is_recovering(now)
     }
 
     /// Whether there is an outage, or one ended within the recovery period.
--- a/crates/camphorwall-direct/src/endpoints/store_contact_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/store_contact_tests.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
-use crate::{endpoints::store_contact::StoreContact, testing::at_ms};
+use crate::{dialect::StoreRevision, endpoints::store_contact::StoreContact, testing::at_ms};
 
 /// Long-poll timeout of a watch, and the pauses after a failure and after changes.
 const WAIT_MS: u64 = 1_500;
@@ -96,7 +96,7 @@
         }
         if now_ms % 240 == 0 {
             let sound = readers.iter().map(|one| one.contact.sound_revision());
-            let sound = sound.max().unwrap_or(0);
+            let sound = sound.max().unwrap_or_default();
             for reader in &mut *readers {
                 reader.contact.note_sound_revision(sound);
             }
@@ -211,3 +211,17 @@
     assert!(contact.is_in_doubt(8, at_ms(5_010)));
     assert!(!contact.is_in_doubt(8, at_ms(7_300)));
 }
+
+/// Guards against removals that an entry of another era of the store has seen, at revisions that were issued again.
+#[test]
+fn a_sound_revision_of_another_era_proves_no_removal() {
+    let revision = |era, number| StoreRevision { era, number };
+    let mut contact = StoreContact::default();
+    contact.note_sound_revision(revision(1, 90));
+    contact.note_restored(at_ms(1_000));
+    assert!(contact.is_in_doubt(revision(2, 40), at_ms(1_100)));
+    contact.note_sound_revision(revision(2, 50));
+    assert!(!contact.is_in_doubt(revision(2, 40), at_ms(1_200)));
+    assert!(contact.is_in_doubt(revision(1, 95), at_ms(1_200)));
+    assert!(!contact.is_in_doubt(revision(2, 60), at_ms(3_300)));
+}
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -107,6 +107,8 @@
     pub(crate) mirror: RefCell<StoreMirror>,
     /// Whether this entry reads the store itself.
     pub(crate) reads_store: Cell<bool>,
+    /// Number of times the store had been restored at its last answer; `None` before the first.
+    pub(crate) store_era: Cell<Option<u64>>,
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
@@ -200,6 +202,7 @@
             recent: RefCell::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
+            store_era: Cell::new(None),
             quotas: RefCell::new(Quotas::new(Moment::now())),
             retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
             lengths: RefCell::default(),
@@ -518,6 +521,7 @@
             peers_silent: peers.silent(self.keys_rejected_after(), now),
             allowance_entries: peers.shares.divisor(now).unwrap_or(0),
             reads_store: self.reads_store.get(),
+            store_era: self.store_era.get().unwrap_or(0),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
         })
     }
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -13,6 +13,7 @@
     },
     clock::Moment,
     contract::quota::ReportedAccount,
+    dialect::StoreRevision,
     endpoints::{notices::ReportedLeaving, poison::ReportedSuspect, suspicion::ReportedResults},
     entry::Entry,
     fleet::shares::{SILENT_AFTER, Shares},
@@ -61,7 +62,9 @@
     /// Whether the entry reads the store itself, so that peers may follow it.
     pub(crate) reads_store: bool,
     /// Revision of the store up to which an entry with a sound way to it has seen all changes.
-    pub(crate) sound_revision: u64,
+    pub(crate) sound_revision: StoreRevision,
+    /// Version of the configuration in force, 0 without one, and the revision of the store at which it was written.
+    pub(crate) configuration: (u64, StoreRevision),
     /// Rate of the entry's link; 0 if it is not known.
     pub(crate) link_mbps: u32,
     /// Whether the entry serves callers with keys.
@@ -379,6 +382,7 @@
             data_centre: peers.data_centre,
             reads_store: entry.reads_store.get() && !entry.is_leaving(),
             sound_revision: entry.registry.borrow().contact.sound_revision(),
+            configuration: configuration_in_force(entry),
             link_mbps: entry.settings().link_mbps_or_zero(),
             is_serving: entry.is_serving(now),
             fleet_size: peers.shares.own_size(),
@@ -405,6 +409,13 @@
     }
 }
 
+fn configuration_in_force(entry: &Entry) -> (u64, StoreRevision) {
+    let registry = entry.registry.borrow();
+    let in_force = registry.configuration();
+    let version = in_force.map_or(0, |current| current.version);
+    (version, registry.configuration_revision())
+}
+
 /// Receives heartbeats until the entry's tasks are dropped.
 pub(crate) async fn receive_heartbeats(entry: Rc<Entry>, socket: UdpSocket) {
     let mut buffer = Vec::with_capacity(MAX_HEARTBEAT_BYTES);
@@ -481,6 +492,17 @@
         registry
             .contact
             .note_sound_revision(heartbeat.sound_revision);
+        let mut tracker = entry.tracker.borrow_mut();
+        let was_behind = tracker.is_behind();
+        let (version, revision) = heartbeat.configuration;
+        tracker.note_published(version, revision);
+        if tracker.is_behind() && !was_behind {
+            tracing::warn!(event = "configuration_behind", version, %revision, %from);
+        }
+        let in_force = registry.configuration().map(|current| current.version);
+        if in_force.is_some_and(|in_force| tracker.is_before_lost(in_force)) {
+            registry.withdraw_proofs();
+        }
     }
     for leaving in heartbeat.leaving {
         if entry.notices.borrow_mut().note_peer(leaving, now) {
--- a/crates/camphorwall-direct/src/fleet/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -8,7 +8,9 @@
         placement::{QueueRank, ReportedWaiter, scheduling_round},
     },
     clock::Moment,
+    configuration::Configuration,
     contract::quota::Quotas,
+    dialect::StoreRevision,
     fleet::peers::{
         Heartbeat, Peers, apply_heartbeat, changes_interval, heartbeat_period, receive_heartbeats,
     },
@@ -172,7 +174,8 @@
         sequence: 1_000,
         data_centre: u16::MAX,
         reads_store: true,
-        sound_revision: 0,
+        sound_revision: 0.into(),
+        configuration: (0, 0.into()),
         link_mbps: 10,
         is_serving: true,
         fleet_size: 2,
@@ -203,7 +206,8 @@
         sequence,
         data_centre: 0,
         reads_store: false,
-        sound_revision: 0,
+        sound_revision: 0.into(),
+        configuration: (0, 0.into()),
         link_mbps: 10,
         is_serving,
         fleet_size: 2,
@@ -257,3 +261,36 @@
     apply_heartbeat(&entry, from, heartbeat(2, false, Vec::new()));
     assert!(!entry.retry_elsewhere_after().is_zero());
 }
+
+/// Guards against an entry that starts at a restored store and serves keys that a lost configuration withdrew.
+#[compio::test]
+async fn keys_close_at_an_entry_whose_peer_has_a_configuration_that_the_store_has_lost() {
+    let revision = |era, number| StoreRevision { era, number };
+    let entry = entry_with_empty_dialect();
+    let is_open = || {
+        let registry = entry.registry.borrow();
+        registry.keys_are_fresh(Moment::now(), Duration::from_secs(5))
+    };
+    {
+        let mut tracker = entry.tracker.borrow_mut();
+        tracker.start_in_era(2);
+        tracker.note_read(revision(2, 4));
+        tracker.note_version(11, revision(2, 4));
+        let mut registry = entry.registry.borrow_mut();
+        let configuration = Configuration {
+            version: 11,
+            ..Configuration::default()
+        };
+        registry.apply_configuration(configuration, revision(2, 4));
+        registry.prove(Moment::now());
+    }
+    let mut peer = heartbeat(1, true, Vec::new());
+    peer.configuration = (11, revision(1, 4));
+    let from = SocketAddr::from(([10, 0, 0, 2], 7_500));
+    apply_heartbeat(&entry, from, peer);
+    assert!(is_open());
+    let mut peer = heartbeat(2, true, Vec::new());
+    peer.configuration = (12, revision(1, 9));
+    apply_heartbeat(&entry, from, peer);
+    assert!(!is_open());
+}
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -48,8 +48,8 @@
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
     AnswerFacts, Changes, ConfigurationDraft, Dialect, DraftConfiguration, ForwardingFacts,
-    KvHandle, Page, PromptPart, RequestFacts, StoreDialect, StoreItem, UnreadableConfiguration,
-    UnreadableReason, UnreadableRoute,
+    KvHandle, Page, PromptPart, RequestFacts, StoreDialect, StoreItem, StoreRevision,
+    UnreadableConfiguration, UnreadableReason, UnreadableRoute,
 };
 pub use fleet::signals::watch_signals;
 pub use names::{DataCentreName, EndpointName, InstanceName, ServiceName, TeamName};
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -92,6 +92,7 @@
     pub(crate) peers_silent: usize,
     pub(crate) allowance_entries: usize,
     pub(crate) reads_store: bool,
+    pub(crate) store_era: u64,
     pub(crate) log_lines_dropped: u64,
 }
 
@@ -115,6 +116,7 @@
     peers_silent: Gauge<u64, AtomicU64>,
     allowance_entries: Gauge<u64, AtomicU64>,
     reads_store: Gauge<u64, AtomicU64>,
+    store_era: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
 }
 
@@ -154,6 +156,7 @@
             peers_silent: Gauge::default(),
             allowance_entries: Gauge::default(),
             reads_store: Gauge::default(),
+            store_era: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
         metrics.register();
@@ -228,6 +231,11 @@
             "1 while the entry reads the store for its data centre, 0 while it follows another",
             &self.reads_store,
         );
+        gauge(
+            "store_era",
+            "Times the store was restored from a copy",
+            &self.store_era,
+        );
         gauge(
             "log_lines_dropped",
             "Log lines that found the ring full",
@@ -321,6 +329,7 @@
         self.peers_silent.set(gauges.peers_silent as u64);
         self.allowance_entries.set(gauges.allowance_entries as u64);
         self.reads_store.set(u64::from(gauges.reads_store));
+        self.store_era.set(gauges.store_era);
         self.log_lines_dropped.set(gauges.log_lines_dropped);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry.borrow()) {
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Request, StatusCode, header};
 use strum::Display;
 
+use super::era::enter_era;
 use crate::{clock::Moment, entry::Entry, upstream};
 
 /// Timeout of the store's own work on a call, beyond the wait for changes, and of each further part of its answer.
@@ -31,6 +32,10 @@
     /// The store has discarded the changes since the revision.
     #[strum(to_string = "the store has discarded these changes")]
     HistoryDiscarded,
+    /// The store has been restored from a copy since this entry last heard of it, so the answer can't be combined with
+    /// what is known.
+    #[strum(to_string = "the store has been restored from a copy")]
+    Restored,
     #[strum(to_string = "{0}")]
     Failed(String),
     /// Nothing came in time, so that what was last heard is from before the call.
@@ -74,7 +79,14 @@
         silence_timeout: ANSWER_TIMEOUT,
         max_bytes,
     };
-    call(entry.settings().store_address, path, limits).await
+    let known = entry.store_era.get();
+    let body = call(entry.settings().store_address, path, limits).await?;
+    let era = (entry.dialect.store.era)(&body.headers).map_err(StoreError::Failed)?;
+    enter_era(entry, era.unwrap_or(0))?;
+    if known.is_some() && known != entry.store_era.get() {
+        return Err(StoreError::Restored);
+    }
+    Ok(body)
 }
 
 /// Calls a reader, which may hold the call for a time.
@@ -93,6 +105,7 @@
 
 /// Body of an answer, or its beginning if it is larger than the call allows.
 pub(super) struct CallBody {
+    headers: HeaderMap,
     pub(super) bytes: Bytes,
     pub(super) is_complete: bool,
 }
@@ -107,6 +120,7 @@
     loop {
         if body.len().max(announced.unwrap_or(0)) > limits.max_bytes {
             return Ok(CallBody {
+                headers: answer.parts.headers,
                 bytes: body.freeze(),
                 is_complete: false,
             });
@@ -133,6 +147,7 @@
         tracing::info!(event = "large_answer_read", from = %store, bytes = body.len(), elapsed_ms);
     }
     Ok(CallBody {
+        headers: answer.parts.headers,
         bytes: body.freeze(),
         is_complete: true,
     })
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -6,6 +6,7 @@
 
 use super::{
     call::{StoreError, call_reader},
+    era::enter_era,
     follow::{RETRY_PAUSE, choose_source, list},
     readers::{Source, configuration_source},
     relay::{self, ConfigurationHead},
@@ -14,7 +15,7 @@
     clock::Moment,
     configuration::{Configuration, Route},
     configuration_change::ConfigurationChange,
-    dialect::{ConfigurationDraft, StoreItem, UnreadableConfiguration},
+    dialect::{ConfigurationDraft, StoreItem, StoreRevision, UnreadableConfiguration},
     entry::Entry,
 };
 
@@ -94,6 +95,7 @@
     let unreadable = |error: postcard::Error| StoreError::Failed(error.to_string());
     let (head, change) =
         postcard::take_from_bytes::<ConfigurationHead>(&body.bytes).map_err(unreadable)?;
+    enter_era(entry, head.confirmed_to.era)?;
     let began_at = Moment::now();
     let change: ConfigurationChange = postcard::from_bytes(change).map_err(unreadable)?;
     let base = base.filter(|_| head.is_from_base).unwrap_or_default();
@@ -113,10 +115,10 @@
 }
 
 /// Records that the configuration that was read last was the newest up to a revision and a moment.
-fn note_confirmed(entry: &Entry, revision: u64, proved_at: Moment) {
+fn note_confirmed(entry: &Entry, revision: StoreRevision, proved_at: Moment) {
     let mut tracker = entry.tracker.borrow_mut();
     tracker.confirm(revision);
-    if !tracker.is_outdated() {
+    if tracker.may_prove() {
         entry.registry.borrow_mut().prove(proved_at);
     }
     entry.configuration_read.notify();
@@ -161,7 +163,7 @@
     tracing::warn!(
         event = "configuration_unreadable",
         key = &*item.key,
-        revision = item.revision,
+        revision = %item.revision,
         version = stuck.cause.version,
         in_force = registry.configuration().map(|current| current.version),
         outdated_for_ms = now.since(stuck.since).as_millis(),
@@ -222,9 +224,10 @@
 pub(super) fn put_in_force(
     entry: &Entry,
     configuration: Configuration,
-    revision: u64,
+    revision: impl Into<StoreRevision>,
     figures: ReadFigures,
 ) {
+    let revision = revision.into();
     let version = configuration.version;
     let mut registry = entry.registry.borrow_mut();
     let is_newer = registry.apply_configuration(configuration, revision);
@@ -232,13 +235,25 @@
         let configuration = Rc::clone(configuration);
         entry.recent.borrow_mut().add(revision, configuration);
     }
-    entry.tracker.borrow_mut().note_read(revision);
+    note_read(entry, version, revision);
     tracing::info!(
         event = "configuration_read",
         version,
         in_force = is_newer,
-        revision,
+        %revision,
         bytes = figures.bytes,
         parse_ms = Moment::now().since(figures.began_at).as_millis(),
     );
 }
+
+/// Records that a configuration was read, and logs the first one that is older than one that was published before the
+/// store was restored.
+fn note_read(entry: &Entry, version: u64, revision: StoreRevision) {
+    let mut tracker = entry.tracker.borrow_mut();
+    let was_behind = tracker.is_behind();
+    tracker.note_read(revision);
+    tracker.note_version(version, revision);
+    if tracker.is_behind() && !was_behind {
+        tracing::warn!(event = "configuration_behind", version, %revision);
+    }
+}
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -9,12 +9,13 @@
 use super::{
     call::{StoreError, call_reader, call_store},
     configuration::apply_configuration,
+    era::enter_era,
     readers::{LocalEntry, Neighbour, Source, source},
     relay::{self, ceil_ms},
 };
 use crate::{
     clock::Moment,
-    dialect::{Changes, Page, StoreItem},
+    dialect::{Changes, Page, StoreItem, StoreRevision},
     endpoints::registry::{EndpointChange, STALE_PROOF_AGE},
     entry::Entry,
     names::EndpointName,
@@ -49,7 +50,7 @@
 /// Result of a list, a watch or a call to a reader.
 pub(super) struct StoreUpdate {
     /// Revision up to which all changes of endpoints are known.
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     /// Moment up to which all changes of endpoints are known; `None` if nothing new is known of them.
     pub(super) known_to: Option<Moment>,
 }
@@ -96,9 +97,12 @@
 
 /// Follows the endpoints' registrations and learns of changed configurations until the entry's tasks are dropped.
 pub(crate) async fn follow(entry: Rc<Entry>) {
-    let mut revision = None;
+    let mut revision: Option<StoreRevision> = None;
     let mut is_store_unreachable = false;
     loop {
+        // Another call may have learned that the store was restored; changes since an earlier era would be incomplete.
+        let era = entry.store_era.get();
+        revision = revision.filter(|revision| Some(revision.era) == era);
         let source = choose_source(&entry, source);
         let called_at = Moment::now();
         let update = match (revision, source) {
@@ -121,7 +125,7 @@
                     contact.note_known_revision(update.revision, Moment::now());
                 }
                 if is_store_unreachable {
-                    tracing::info!(event = "store_regained", revision = update.revision);
+                    tracing::info!(event = "store_regained", revision = %update.revision);
                 }
                 is_store_unreachable = false;
                 if revision != Some(update.revision) {
@@ -130,7 +134,8 @@
                 }
                 revision = Some(update.revision);
             }
-            (Err(StoreError::HistoryDiscarded), Source::Neighbour(_)) => revision = None,
+            (Err(StoreError::HistoryDiscarded), Source::Neighbour(_))
+            | (Err(StoreError::Restored), _) => revision = None,
             (Err(StoreError::HistoryDiscarded), Source::Store) => {
                 tracing::info!(event = "store_history_lost");
                 let now = Moment::now();
@@ -155,7 +160,9 @@
                 note_reads_store(&entry, false);
                 let since = match error {
                     StoreError::Silent(_) => called_at,
-                    StoreError::Failed(_) | StoreError::HistoryDiscarded => Moment::now(),
+                    StoreError::Failed(_) | StoreError::Restored | StoreError::HistoryDiscarded => {
+                        Moment::now()
+                    }
                 };
                 entry.registry.borrow_mut().contact.note_failure(since);
                 compio::time::sleep(RETRY_PAUSE).await;
@@ -185,6 +192,15 @@
     let prefix = entry.dialect.store.endpoints_prefix;
     let (items, revision) = list(entry, prefix).await?;
     note_store_answer(entry, known_to, Duration::ZERO);
+    apply_all(entry, items, revision);
+    Ok(StoreUpdate {
+        revision,
+        known_to: Some(known_to),
+    })
+}
+
+/// Applies all registrations: those that are missing were removed.
+fn apply_all(entry: &Entry, items: Vec<StoreItem>, revision: StoreRevision) {
     let mut keys = Vec::with_capacity(items.len());
     for item in items {
         apply_endpoint(entry, &item);
@@ -196,27 +212,33 @@
         .collect();
     let mut registry = entry.registry.borrow_mut();
     for (endpoint, change) in registry.keep_only(&ids, revision, Moment::now()) {
-        tracing::info!(event = "endpoint_changed", %endpoint, %change, revision);
+        tracing::info!(event = "endpoint_changed", %endpoint, %change, %revision);
     }
     entry.mirror.borrow_mut().keep_only(&keys, revision);
-    Ok(StoreUpdate {
-        revision,
-        known_to: Some(known_to),
-    })
 }
 
 /// Reads all items below a prefix; returns them with the revision at which the list began. A page that fails is requested
 /// again, so that a long list doesn't begin anew.
-pub(super) async fn list(entry: &Entry, prefix: &str) -> Result<(Vec<StoreItem>, u64), StoreError> {
+pub(super) async fn list(
+    entry: &Entry,
+    prefix: &str,
+) -> Result<(Vec<StoreItem>, StoreRevision), StoreError> {
     let store = &entry.dialect.store;
     let mut items: Vec<StoreItem> = Vec::new();
-    let mut first_revision = None;
+    let mut first_revision: Option<StoreRevision> = None;
     let mut failures = 0;
     loop {
         let path = (store.list_path)(prefix, items.last().map(|item| &*item.key));
         let page = call_store(entry, &path, Duration::ZERO, usize::MAX).await;
+        let era = entry.store_era.get().unwrap_or(0);
         let page: Page = match page {
-            Ok(body) => (store.page)(&body.bytes).map_err(StoreError::Failed)?,
+            // Another call may have begun the era, so that the pages so far are of an earlier one.
+            Ok(_) if first_revision.is_some_and(|first| first.era != era) => {
+                return Err(StoreError::Restored);
+            }
+            Ok(body) => (store.page)(&body.bytes)
+                .map_err(StoreError::Failed)?
+                .in_era(era),
             Err(error @ (StoreError::Failed(_) | StoreError::Silent(_)))
                 if !items.is_empty() && failures < MAX_PAGE_FAILURES =>
             {
@@ -239,7 +261,7 @@
 /// Waits for changes in the store. Watches only the endpoints while a configuration is being read, and until all changes
 /// of endpoints up to the configuration's revision are known; a watch of all keys from an earlier revision would return
 /// the configuration again.
-async fn watch(entry: &Entry, revision: u64) -> Result<StoreUpdate, StoreError> {
+async fn watch(entry: &Entry, revision: StoreRevision) -> Result<StoreUpdate, StoreError> {
     let newest_to = entry.tracker.borrow().newest_to();
     match newest_to {
         Some(newest_to) if revision >= newest_to => watch_all(entry, newest_to).await,
@@ -267,18 +289,18 @@
 
 /// Waits for changes of any item. A response that is too large is abandoned, because it may contain several versions of
 /// the configuration, of which only the newest is needed.
-async fn watch_all(entry: &Entry, after: u64) -> Result<StoreUpdate, StoreError> {
+async fn watch_all(entry: &Entry, after: StoreRevision) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
     let wait = if entry.registry.borrow().contact.is_failing() {
         NO_WAIT
-    } else if entry.tracker.borrow().is_outdated() {
+    } else if !entry.tracker.borrow().may_prove() {
         // Nothing is proved before the next configuration comes.
         WATCH_WAIT
     } else {
         proof_wait(entry.registry.borrow().proof_age(sent_at))
     };
-    let path = (store.watch_path)("", after, wait);
+    let path = (store.watch_path)("", after.number, wait);
     let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await?;
     note_store_answer(entry, sent_at, wait);
     if !body.is_complete {
@@ -291,6 +313,7 @@
         });
     }
     let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
+    let changes = changes.in_era(after.era);
     for item in &changes.items {
         if item.key.starts_with(store.endpoints_prefix) {
             apply_endpoint(entry, item);
@@ -302,7 +325,7 @@
     let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
     let mut tracker = entry.tracker.borrow_mut();
     tracker.confirm(changes.revision);
-    if !tracker.is_outdated() {
+    if tracker.may_prove() {
         entry.registry.borrow_mut().prove(known_to);
     }
     Ok(StoreUpdate {
@@ -314,17 +337,18 @@
 /// Waits for changes of endpoints.
 async fn watch_endpoints(
     entry: &Entry,
-    revision: u64,
+    revision: StoreRevision,
     wait: Duration,
 ) -> Result<StoreUpdate, StoreError> {
     let store = &entry.dialect.store;
     let sent_at = Moment::now();
     let is_failing = entry.registry.borrow().contact.is_failing();
     let wait = if is_failing { NO_WAIT } else { wait };
-    let path = (store.watch_path)(store.endpoints_prefix, revision, wait);
+    let path = (store.watch_path)(store.endpoints_prefix, revision.number, wait);
     let body = call_store(entry, &path, wait, usize::MAX).await?;
     note_store_answer(entry, sent_at, wait);
     let changes: Changes = (store.changes)(&body.bytes).map_err(StoreError::Failed)?;
+    let changes = changes.in_era(revision.era);
     for item in &changes.items {
         apply_endpoint(entry, item);
     }
@@ -340,11 +364,12 @@
 pub(super) async fn follow_reader(
     entry: &Entry,
     reader: SocketAddr,
-    after: u64,
+    after: impl Into<StoreRevision>,
 ) -> Result<StoreUpdate, StoreError> {
+    let after = after.into();
     let sent_at = Moment::now();
     let is_current = entry.registry.borrow().has_fresh_proof(sent_at);
-    let wait = if is_current || entry.tracker.borrow().is_outdated() {
+    let wait = if is_current || !entry.tracker.borrow().may_prove() {
         WATCH_WAIT
     } else {
         STALE_WAIT
@@ -353,6 +378,7 @@
     let body = call_reader(reader, &path, wait).await?;
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
+    enter_era(entry, response.revision.era)?;
     let received_at = Moment::now();
     {
         // Recorded before the removals are applied, since some may be expired registrations of living endpoints.
@@ -362,15 +388,16 @@
         contact.note_reader_answer(ended_at, received_at);
         contact.note_sound_revision(response.sound_revision);
     }
-    for item in response.items {
-        apply_endpoint(
-            entry,
-            &StoreItem {
-                key: item.key,
-                value: item.value.map(Bytes::from),
-                revision: item.revision,
-            },
-        );
+    let items = response.items.into_iter();
+    let items = items.map(|item| StoreItem {
+        key: item.key,
+        value: item.value.map(Bytes::from),
+        revision: item.revision,
+    });
+    if response.is_complete {
+        apply_all(entry, items.collect(), response.revision);
+    } else {
+        items.for_each(|item| apply_endpoint(entry, &item));
     }
     let waited = Duration::from_millis(response.waited_ms.into()).min(received_at.since(sent_at));
     let moment = |age_ms: u32| sent_at + waited - Duration::from_millis(age_ms.into());
@@ -396,7 +423,7 @@
     let now = Moment::now();
     let mut tracker = entry.tracker.borrow_mut();
     if reported.revision > tracker.read_revision() {
-        tracker.note_change(reported.revision - 1, now);
+        tracker.note_change(reported.revision.before(), now);
     } else {
         tracker.confirm(reported.confirmed_to);
     }
@@ -406,10 +433,10 @@
     let mut registry = entry.registry.borrow_mut();
     if tracker.needs_read() {
         entry.configuration_wanted.notify();
-    } else if !tracker.is_outdated() {
+    } else if tracker.may_prove() {
         registry.prove(proved_at);
     }
-    if registry.keys_digest() == reported.keys_digest {
+    if registry.keys_digest() == reported.keys_digest && !tracker.is_behind() {
         registry.prove_keys(proved_at);
     }
 }
@@ -440,7 +467,7 @@
         (_, None) => EndpointChange::Unchanged,
     };
     if change != EndpointChange::Unchanged {
-        tracing::info!(event = "endpoint_changed", key = &*item.key, %change, revision = item.revision);
+        tracing::info!(event = "endpoint_changed", key = &*item.key, %change, revision = %item.revision);
     }
 }
 
--- a/crates/camphorwall-direct/src/store/mirror.rs
+++ b/crates/camphorwall-direct/src/store/mirror.rs
@@ -5,7 +5,10 @@
 use futures_channel::oneshot;
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Moment, dialect::StoreItem};
+use crate::{
+    clock::Moment,
+    dialect::{StoreItem, StoreRevision},
+};
 
 /// Maximum number of removals that are kept. A follower that lacks an older one lists the store.
 const MAX_REMOVALS: usize = 256;
@@ -15,7 +18,7 @@
 pub(crate) struct ChangedItem {
     pub(crate) key: Box<str>,
     pub(crate) value: Option<Vec<u8>>,
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
 }
 
 /// The endpoints' registrations as they are in the store.
@@ -23,11 +26,11 @@
 pub(crate) struct StoreMirror {
     registrations: HashMap<Box<str>, ChangedItem>,
     /// Revision of the store up to which all changes are known.
-    revision: u64,
+    revision: StoreRevision,
     /// Moment up to which all changes are known.
     known_to: Option<Moment>,
     /// Removals up to this revision may have been dropped.
-    dropped_revision: u64,
+    dropped_revision: StoreRevision,
     waiting: Vec<oneshot::Sender<()>>,
 }
 
@@ -46,7 +49,8 @@
     }
 
     /// Applies a complete list: registrations missing from it were removed by its revision.
-    pub(crate) fn keep_only(&mut self, listed: &[Box<str>], revision: u64) {
+    pub(crate) fn keep_only(&mut self, listed: &[Box<str>], revision: impl Into<StoreRevision>) {
+        let revision = revision.into();
         for item in self.registrations.values_mut() {
             if item.value.is_some() && item.revision < revision && !listed.contains(&item.key) {
                 item.value = None;
@@ -55,7 +59,7 @@
         }
     }
 
-    pub(crate) const fn revision(&self) -> u64 {
+    pub(crate) const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -66,7 +70,8 @@
 
     /// Records that all changes up to a revision and a moment are known, and wakes waiting followers, even if neither is
     /// newer.
-    pub(crate) fn advance(&mut self, revision: u64, known_to: Option<Moment>) {
+    pub(crate) fn advance(&mut self, revision: impl Into<StoreRevision>, known_to: Option<Moment>) {
+        let revision = revision.into();
         self.known_to = self.known_to.max(known_to);
         if revision > self.revision {
             self.revision = revision;
@@ -92,16 +97,25 @@
     }
 
     /// The registrations that changed after a revision; `None` if removals since then have been dropped.
-    pub(crate) fn changes(&self, after: u64) -> Option<Vec<ChangedItem>> {
+    pub(crate) fn changes(&self, after: impl Into<StoreRevision>) -> Option<Vec<ChangedItem>> {
+        let after = after.into();
         let all = self.registrations.values();
         let changed = all.filter(|item| item.revision > after);
         (after >= self.dropped_revision).then(|| changed.cloned().collect())
     }
 
+    /// All registrations of the present era. Of those that were lost with the era before, nothing is known.
+    pub(crate) fn registered(&self) -> Vec<ChangedItem> {
+        let all = self.registrations.values();
+        let present =
+            all.filter(|item| item.value.is_some() && item.revision.era == self.revision.era);
+        present.cloned().collect()
+    }
+
     fn drop_old_removals(&mut self) {
         let all = self.registrations.values();
         let removed = all.filter(|item| item.value.is_none());
-        let mut removed: Vec<u64> = removed.map(|item| item.revision).collect();
+        let mut removed: Vec<StoreRevision> = removed.map(|item| item.revision).collect();
         if removed.len() <= MAX_REMOVALS {
             return;
         }
--- a/crates/camphorwall-direct/src/store/mirror_tests.rs
+++ b/crates/camphorwall-direct/src/store/mirror_tests.rs
@@ -6,7 +6,7 @@
     StoreItem {
         key: key.into(),
         value: value.map(|value| Bytes::copy_from_slice(value.as_bytes())),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -68,5 +68,5 @@
     assert_eq!(waiting.try_recv(), Ok(None));
     mirror.advance(3, Some(at_ms(0)));
     assert_eq!(waiting.try_recv(), Ok(Some(())));
-    assert_eq!(mirror.revision(), 3);
+    assert_eq!(mirror.revision(), 3.into());
 }
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod configuration;
+mod era;
 mod follow;
 mod mirror;
 mod readers;
--- a/crates/camphorwall-direct/src/store/recent.rs
+++ b/crates/camphorwall-direct/src/store/recent.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 
-use crate::{configuration::Configuration, configuration_change::ConfigurationChange};
+use crate::{
+    configuration::Configuration, configuration_change::ConfigurationChange, dialect::StoreRevision,
+};
 
 /// Number of configurations that are kept. A follower with an older one gets the complete newest configuration.
 const KEPT_CONFIGURATIONS: usize = 4;
@@ -12,7 +14,7 @@
 /// A configuration, by the revision of the store at which it was written.
 #[derive(Debug)]
 struct KnownConfiguration {
-    revision: u64,
+    revision: StoreRevision,
     configuration: Rc<Configuration>,
     /// Change from this configuration to the newest, encoded at the first request.
     change: Option<Bytes>,
@@ -28,7 +30,7 @@
 
 impl RecentConfigurations {
     /// Adds a configuration that is newer than all others.
-    pub(crate) fn add(&mut self, revision: u64, configuration: Rc<Configuration>) {
+    pub(crate) fn add(&mut self, revision: StoreRevision, configuration: Rc<Configuration>) {
         for known in &mut self.known {
             known.change = None;
         }
@@ -45,7 +47,7 @@
 
     /// The change that turns the configuration of a revision into the newest one, and whether it does so from that
     /// configuration or from an empty one; `None` if there is no newer one.
-    pub(crate) fn change_since(&mut self, revision: u64) -> Option<(bool, Bytes)> {
+    pub(crate) fn change_since(&mut self, revision: StoreRevision) -> Option<(bool, Bytes)> {
         let newest = self
             .known
             .back()
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::mirror::ChangedItem;
-use crate::{clock::Moment, configuration::KeysDigest, entry::Entry};
+use crate::{clock::Moment, configuration::KeysDigest, dialect::StoreRevision, entry::Entry};
 
 /// Maximum time for which a reader holds a follower's call.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -21,8 +21,10 @@
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct ChangesResponse {
     /// Revision of the store up to which the response contains all changes of registrations.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     pub(crate) items: Vec<ChangedItem>,
+    /// Whether the items are all registrations, because the follower's revision is of another era.
+    pub(crate) is_complete: bool,
     /// Time since the reader last knew that these were all changes.
     pub(crate) age_ms: u32,
     pub(crate) configuration: ReportedConfiguration,
@@ -32,7 +34,7 @@
     /// Time since the end of an outage after which registrations may still be missing; 0 during one.
     pub(crate) outage_age_ms: Option<u32>,
     /// Highest revision up to which an entry with a sound way to the store has seen all changes.
-    pub(crate) sound_revision: u64,
+    pub(crate) sound_revision: StoreRevision,
 }
 
 /// What a reader knows of the newest configuration. Configurations are large and change rarely, so followers get them by
@@ -40,11 +42,11 @@
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct ReportedConfiguration {
     /// Revision of the configuration that the reader read last.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Revision of the store up to which there is no newer one.
-    pub(crate) confirmed_to: u64,
+    pub(crate) confirmed_to: StoreRevision,
     /// Revision after which one was written that the reader hasn't read yet.
-    pub(crate) changed_after: Option<u64>,
+    pub(crate) changed_after: Option<StoreRevision>,
     /// Digest of the keys of the reader's configuration in force.
     pub(crate) keys_digest: KeysDigest,
     /// Time since the reader last proved that its configuration was the newest.
@@ -58,11 +60,11 @@
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct ConfigurationHead {
     /// Revision of the configuration to which the change leads.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Whether the change starts from the follower's configuration; otherwise it starts from an empty one.
     pub(crate) is_from_base: bool,
     /// Revision of the store up to which there is no newer configuration.
-    pub(crate) confirmed_to: u64,
+    pub(crate) confirmed_to: StoreRevision,
     /// Time since the reader last proved that its configuration was the newest.
     pub(crate) proof_age_ms: u32,
     /// Time for which the reader held the call.
@@ -70,14 +72,17 @@
 }
 
 /// Path and query of a follower's call for changes of registrations.
-pub(crate) fn changes_path(after: u64, wait: Duration) -> String {
-    format!("/changes?after={after}&wait_ms={}", wait.as_millis())
+pub(crate) fn changes_path(after: StoreRevision, wait: Duration) -> String {
+    let StoreRevision { era, number } = after;
+    let wait_ms = wait.as_millis();
+    format!("/changes?era={era}&after={number}&wait_ms={wait_ms}")
 }
 
 /// Path and query of a follower's call for a configuration newer than that of a revision.
-pub(crate) fn configuration_path(after: u64, wait: Duration) -> String {
+pub(crate) fn configuration_path(after: StoreRevision, wait: Duration) -> String {
+    let StoreRevision { era, number } = after;
     let wait_ms = wait.as_millis();
-    format!("{CONFIGURATION_PATH}?after={after}&wait_ms={wait_ms}")
+    format!("{CONFIGURATION_PATH}?era={era}&after={number}&wait_ms={wait_ms}")
 }
 
 fn number(query: &str, name: &str) -> Option<u64> {
@@ -95,6 +100,7 @@
     let (Some(after), Some(wait_ms)) = (number(query, "after"), number(query, "wait_ms")) else {
         return refuse(StatusCode::BAD_REQUEST);
     };
+    let after = StoreRevision::from(after).in_era(number(query, "era").unwrap_or(0));
     let received_at = Moment::now();
     let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
     if request.uri().path() == CONFIGURATION_PATH {
@@ -137,20 +143,31 @@
     })
 }
 
-fn changes_response(entry: &Entry, after: u64, received_at: Moment) -> Response<BoxedBody> {
+fn changes_response(
+    entry: &Entry,
+    after: StoreRevision,
+    received_at: Moment,
+) -> Response<BoxedBody> {
     let now = Moment::now();
     let mirror = entry.mirror.borrow();
     let (Some(age), Some(configuration)) = (mirror.age(now), reported_configuration(entry, now))
     else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     };
-    let Some(items) = mirror.changes(after) else {
+    let is_complete = after.era != mirror.revision().era;
+    let items = if is_complete {
+        Some(mirror.registered())
+    } else {
+        mirror.changes(after)
+    };
+    let Some(items) = items else {
         return refuse(StatusCode::GONE);
     };
     let contact = &entry.registry.borrow().contact;
     let response = ChangesResponse {
         revision: mirror.revision(),
         items,
+        is_complete,
         age_ms: ceil_ms(age),
         configuration,
         waited_ms: whole_ms(now.since(received_at)),
@@ -167,7 +184,11 @@
 }
 
 /// Answers a follower that asks for a configuration newer than that of a revision, once there is one.
-async fn answer_configuration(entry: &Entry, after: u64, wait: Duration) -> Response<BoxedBody> {
+async fn answer_configuration(
+    entry: &Entry,
+    after: StoreRevision,
+    wait: Duration,
+) -> Response<BoxedBody> {
     let received_at = Moment::now();
     let has_newer = || entry.registry.borrow().configuration_revision() > after;
     while !has_newer() && entry.reads_store.get() {
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::Moment,
     configuration::Configuration,
-    dialect::StoreItem,
+    dialect::{StoreItem, StoreRevision},
     entry::Entry,
     store::{
         answer_follower,
@@ -81,7 +81,7 @@
         registry.configuration(),
         reader.registry.borrow().configuration()
     );
-    assert_eq!(registry.configuration_revision(), 6);
+    assert_eq!(registry.configuration_revision(), 6.into());
     assert!(registry.proof_age(Moment::now()).is_some());
     assert!(!follower.tracker.borrow().needs_read());
 }
@@ -101,7 +101,7 @@
     mirror.note_registration(&StoreItem {
         key: "endpoints/e1".into(),
         value: Some(Bytes::from_static(b"e1")),
-        revision,
+        revision: revision.into(),
     });
     let known_to = Moment::now() - mirror.age(Moment::now()).expect("an age");
     mirror.advance(revision, Some(known_to));
@@ -120,7 +120,7 @@
     let Ok(update) = update else {
         panic!("the reader did not answer")
     };
-    assert_eq!(update.revision, 5);
+    assert_eq!(update.revision, 5.into());
     let proof = reader.registry.borrow().proof_age(before).expect("a proof");
     assert!(update.known_to.expect("a moment") <= before - proof);
     let follower_proof = follower.registry.borrow().proof_age(before);
@@ -190,3 +190,89 @@
     let follower = entry_with_empty_dialect();
     assert!(follow_reader(&follower, address, 4).await.is_err());
 }
+
+fn revision(era: u64, number: u64) -> StoreRevision {
+    StoreRevision { era, number }
+}
+
+/// Starts a reader in an era of the store.
+async fn reader_in_era(era: u64) -> (Rc<Entry>, SocketAddr, StopHandle) {
+    let (reader, address, stop) = reader(Duration::ZERO).await;
+    reader.store_era.set(Some(era));
+    reader.tracker.borrow_mut().confirm(revision(era, 4));
+    let now = Moment::now();
+    reader
+        .mirror
+        .borrow_mut()
+        .advance(revision(era, 4), Some(now));
+    (reader, address, stop)
+}
+
+/// Guards against a follower that goes back to an earlier era with a reader that has not heard of the restore.
+#[compio::test]
+async fn a_reader_of_an_earlier_era_proves_nothing() {
+    let (_reader, address, _stop) = reader_in_era(1).await;
+    let follower = entry_with_empty_dialect();
+    follower.store_era.set(Some(2));
+    let update = follow_reader(&follower, address, revision(2, 3)).await;
+    assert!(update.is_err());
+    assert!(
+        follower
+            .registry
+            .borrow()
+            .proof_age(Moment::now())
+            .is_none()
+    );
+    assert_eq!(follower.store_era.get(), Some(2));
+}
+
+/// Guards against a follower that combines what its reader knows in a new era with what it knew itself before.
+#[compio::test]
+async fn a_follower_begins_the_era_of_its_reader() {
+    let (reader, address, _stop) = reader_in_era(2).await;
+    put(&reader, configuration(1, 0..4), 3);
+    let follower = entry_with_empty_dialect();
+    follower.store_era.set(Some(1));
+    put(&follower, configuration(1, 0..4), 900);
+    let update = follow_reader(&follower, address, revision(1, 900)).await;
+    assert_eq!(
+        update.ok().map(|update| update.revision),
+        Some(revision(2, 4))
+    );
+    assert_eq!(follower.store_era.get(), Some(2));
+    let registry = follower.registry.borrow();
+    let now = Moment::now();
+    assert!(registry.contact.is_in_doubt(revision(2, 4), now));
+}
+
+/// Guards against a registration of an earlier era that only the follower has seen and that nobody will remove.
+#[compio::test]
+async fn a_reader_sends_all_registrations_to_a_follower_of_an_earlier_era() {
+    let (reader, address, _stop) = reader_in_era(2).await;
+    put(&reader, configuration(1, 0..4), 3);
+    let item = |key: &str, revision| StoreItem {
+        key: key.into(),
+        value: Some(Bytes::from_static(b"e")),
+        revision,
+    };
+    let follower = entry_with_empty_dialect();
+    follower.store_era.set(Some(1));
+    {
+        let mut mirror = follower.mirror.borrow_mut();
+        mirror.note_registration(&item("endpoints/lost", revision(1, 905)));
+        let mut mirror = reader.mirror.borrow_mut();
+        mirror.note_registration(&item("endpoints/lost-too", revision(1, 900)));
+        mirror.note_registration(&item("endpoints/kept", revision(2, 3)));
+    }
+    let update = follow_reader(&follower, address, revision(1, 905)).await;
+    assert!(update.is_ok());
+    let mut mirror = follower.mirror.borrow_mut();
+    mirror.advance(revision(2, 4), None);
+    let kept = mirror.registered();
+    assert_eq!(kept.len(), 1);
+    assert_eq!(&*kept[0].key, "endpoints/kept");
+    let changes = mirror.changes(revision(1, 905)).expect("changes");
+    let removed = changes.iter().filter(|item| item.value.is_none());
+    let removed: Vec<_> = removed.map(|item| &*item.key).collect();
+    assert_eq!(removed, ["endpoints/lost"]);
+}
--- a/crates/camphorwall-direct/src/store/tracker.rs
+++ b/crates/camphorwall-direct/src/store/tracker.rs
@@ -2,28 +2,39 @@
 
 use std::time::Duration;
 
-use crate::{clock::Moment, dialect::UnreadableConfiguration};
+use crate::{
+    clock::Moment,
+    dialect::{StoreRevision, UnreadableConfiguration},
+};
 
 /// What an entry knows of the newest configuration in the store. Revisions are those of the store.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigurationTracker {
     /// Revision of the configuration that was read last.
-    read_revision: u64,
+    read_revision: StoreRevision,
     /// Revision up to which there is no configuration newer than the one that came last, whether it could be read or not;
     /// `None` before the first read.
-    confirmed_to: Option<u64>,
+    confirmed_to: Option<StoreRevision>,
     /// A newer configuration was written after this revision.
-    changed_after: Option<u64>,
+    changed_after: Option<StoreRevision>,
     /// When the first sign of the newer configuration came.
     outdated_since: Option<Moment>,
     /// A configuration newer than the one that was read last that can't be put in force.
     stuck: Option<StuckConfiguration>,
+    /// Era in which the store answers.
+    era: u64,
+    /// Newest version that was read in this era.
+    read_version: Option<u64>,
+    /// Newest version that the store had in this era, whether it could be read or not.
+    known_version: u64,
+    /// Newest version that the store had in an earlier era.
+    earlier_version: u64,
 }
 
 /// A configuration that came from the store and can't be put in force.
 #[derive(Debug)]
 pub(crate) struct StuckConfiguration {
-    revision: u64,
+    revision: StoreRevision,
     pub(crate) since: Moment,
     pub(crate) cause: UnreadableConfiguration,
 }
@@ -31,18 +42,18 @@
 impl StuckConfiguration {
     /// Its version, or its revision in the store if the version could not be read.
     pub(crate) fn version(&self) -> u64 {
-        self.cause.version.unwrap_or(self.revision)
+        self.cause.version.unwrap_or(self.revision.number)
     }
 }
 
 impl ConfigurationTracker {
-    pub(crate) const fn read_revision(&self) -> u64 {
+    pub(crate) const fn read_revision(&self) -> StoreRevision {
         self.read_revision
     }
 
     /// Revision up to which the configuration that was read last is known to be the newest.
-    pub(crate) fn confirmed_to(&self) -> Option<u64> {
-        let before_stuck = self.stuck.as_ref().map(|stuck| stuck.revision - 1);
+    pub(crate) fn confirmed_to(&self) -> Option<StoreRevision> {
+        let before_stuck = self.stuck.as_ref().map(|stuck| stuck.revision.before());
         let confirmed_to = self.confirmed_to?;
         Some(before_stuck.map_or(confirmed_to, |before| before.min(confirmed_to)))
     }
@@ -53,19 +64,20 @@
     }
 
     /// Revision up to which no newer configuration has to be read; `None` while one must be.
-    pub(crate) fn newest_to(&self) -> Option<u64> {
+    pub(crate) fn newest_to(&self) -> Option<StoreRevision> {
         self.confirmed_to.filter(|_| !self.needs_read())
     }
 
     /// Revision after which a configuration was written that is not in force.
-    pub(crate) fn changed_after(&self) -> Option<u64> {
-        let stuck = self.stuck.as_ref().map(|stuck| stuck.revision - 1);
+    pub(crate) fn changed_after(&self) -> Option<StoreRevision> {
+        let stuck = self.stuck.as_ref().map(|stuck| stuck.revision.before());
         let unread = self.changed_after.filter(|_| self.is_unread());
         stuck.max(unread)
     }
 
     /// Records that a configuration was read. It is the newest one at least up to its own revision.
-    pub(crate) fn note_read(&mut self, revision: u64) {
+    pub(crate) fn note_read(&mut self, revision: impl Into<StoreRevision>) {
+        let revision = revision.into();
         self.read_revision = self.read_revision.max(revision);
         self.stuck = self.stuck.take().filter(|stuck| stuck.revision > revision);
         self.confirm(revision);
@@ -75,14 +87,17 @@
     /// newest, however often the store confirms that nothing has changed since. Returns whether this was not known.
     pub(crate) fn note_stuck(
         &mut self,
-        revision: u64,
+        revision: impl Into<StoreRevision>,
         cause: UnreadableConfiguration,
         now: Moment,
     ) -> bool {
-        let known = self.stuck.as_ref().map_or(0, |stuck| stuck.revision);
+        let revision = revision.into();
+        let known = self.stuck.as_ref().map(|stuck| stuck.revision);
+        let known = known.unwrap_or_default();
         if revision <= known.max(self.read_revision) {
             return false;
         }
+        self.known_version = self.known_version.max(cause.version.unwrap_or(0));
         let since = *self.outdated_since.get_or_insert(now);
         self.stuck = Some(StuckConfiguration {
             revision,
@@ -94,16 +109,16 @@
     }
 
     /// Records that there is no configuration newer than the one that came last, up to a revision.
-    pub(crate) fn confirm(&mut self, revision: u64) {
-        self.confirmed_to = self.confirmed_to.max(Some(revision));
+    pub(crate) fn confirm(&mut self, revision: impl Into<StoreRevision>) {
+        self.confirmed_to = self.confirmed_to.max(Some(revision.into()));
         if !self.is_outdated() {
             self.outdated_since = None;
         }
     }
 
     /// Records that a configuration was written after a revision.
-    pub(crate) fn note_change(&mut self, after: u64, now: Moment) {
-        self.changed_after = self.changed_after.max(Some(after));
+    pub(crate) fn note_change(&mut self, after: impl Into<StoreRevision>, now: Moment) {
+        self.changed_after = self.changed_after.max(Some(after.into()));
         if self.is_outdated() {
             self.outdated_since.get_or_insert(now);
         }
@@ -111,7 +126,54 @@
 
     /// Records that a configuration may have been written since the last confirmation.
     pub(crate) fn suspect_change(&mut self, now: Moment) {
-        self.note_change(self.confirmed_to.unwrap_or(0), now);
+        self.note_change(self.confirmed_to.unwrap_or_default(), now);
+    }
+
+    /// Records the era in which an entry that has just started finds the store.
+    pub(crate) fn start_in_era(&mut self, era: u64) {
+        self.era = era;
+    }
+
+    /// Records that the store has been restored. What was known of its configuration proves nothing any more.
+    pub(crate) fn begin_era(&mut self, era: u64, now: Moment) {
+        self.earlier_version = self.earlier_version.max(self.known_version);
+        self.era = era;
+        self.read_version = None;
+        self.known_version = 0;
+        self.note_change(StoreRevision { era, number: 0 }, now);
+    }
+
+    /// Records the version of a configuration that was read.
+    pub(crate) fn note_version(&mut self, version: u64, revision: StoreRevision) {
+        if revision.era == self.era {
+            self.read_version = self.read_version.max(Some(version));
+            self.known_version = self.known_version.max(version);
+        }
+        self.note_published(version, revision);
+    }
+
+    /// Records a configuration that an entry has in force, which counts if it is of an earlier era.
+    pub(crate) fn note_published(&mut self, version: u64, revision: StoreRevision) {
+        if revision.era < self.era {
+            self.earlier_version = self.earlier_version.max(version);
+        }
+    }
+
+    /// Whether a store that has been restored lacks a configuration that was published before. The keys that it withdrew
+    /// are in the older one again.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.read_version
+            .is_some_and(|read| read < self.earlier_version)
+    }
+
+    /// Whether a version is older than one that a store that has been restored lacks.
+    pub(crate) fn is_before_lost(&self, version: u64) -> bool {
+        self.is_behind() && version < self.earlier_version
+    }
+
+    /// Whether an answer of the store can prove that the configuration in force is the newest.
+    pub(crate) fn may_prove(&self) -> bool {
+        !self.is_outdated() && !self.is_behind()
     }
 
     /// Whether there is a newer configuration than the one that was read last, as far as is known.
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use crate::{
-    dialect::{UnreadableConfiguration, UnreadableReason},
+    dialect::{StoreRevision, UnreadableConfiguration, UnreadableReason},
     store::tracker::ConfigurationTracker,
     testing::at_ms,
 };
@@ -67,7 +67,7 @@
     tracker.note_read(9);
     assert_eq!(
         (tracker.read_revision(), tracker.confirmed_to()),
-        (12, Some(12))
+        (12.into(), Some(12.into()))
     );
 }
 
@@ -91,7 +91,7 @@
     // Followers must not take the stuck revision for confirmed.
     assert_eq!(
         (tracker.confirmed_to(), tracker.changed_after()),
-        (Some(9), Some(9))
+        (Some(9.into()), Some(9.into()))
     );
     tracker.note_change(30, at_ms(4_000));
     assert!(tracker.needs_read());
@@ -99,3 +99,74 @@
     assert!(!tracker.is_outdated());
     assert_eq!(tracker.outdated_for(at_ms(5_000)), None);
 }
+
+fn in_era(era: u64, number: u64) -> StoreRevision {
+    StoreRevision { era, number }
+}
+
+/// Guards against a proof that rests on a revision of before a restore of the store.
+#[test]
+fn a_confirmation_of_an_earlier_era_proves_nothing() {
+    let mut tracker = confirmed();
+    tracker.note_version(3, 5.into());
+    tracker.begin_era(1, at_ms(1_000));
+    assert!(tracker.needs_read() && !tracker.may_prove());
+    // An answer that was on its way tells of a revision that the store has not issued again yet.
+    tracker.confirm(900);
+    assert!(tracker.needs_read());
+    tracker.note_read(in_era(1, 5));
+    tracker.note_version(3, in_era(1, 5));
+    assert!(!tracker.needs_read() && tracker.may_prove());
+}
+
+/// Guards against an older configuration whose keys are taken for the newest because the store has lost a newer one.
+#[test]
+fn a_store_that_lost_a_version_proves_nothing_until_it_is_written_again() {
+    let mut tracker = confirmed();
+    tracker.note_version(3, 5.into());
+    tracker.begin_era(1, at_ms(1_000));
+    tracker.note_read(in_era(1, 4));
+    tracker.note_version(2, in_era(1, 4));
+    assert!(!tracker.is_outdated(), "there is nothing to read");
+    assert!(tracker.is_behind() && !tracker.may_prove());
+    tracker.note_read(in_era(1, 9));
+    tracker.note_version(3, in_era(1, 9));
+    assert!(tracker.may_prove());
+}
+
+/// Guards against an entry that starts after the restore and doesn't know what the store has lost.
+#[test]
+fn a_version_of_an_earlier_era_that_a_peer_has_in_force_counts() {
+    let mut tracker = ConfigurationTracker::default();
+    tracker.start_in_era(2);
+    tracker.note_read(in_era(2, 4));
+    tracker.note_version(2, in_era(2, 4));
+    assert!(tracker.may_prove());
+    // A peer has read a version that is new in this era.
+    tracker.note_published(3, in_era(2, 9));
+    assert!(tracker.may_prove());
+    tracker.note_published(3, in_era(1, 9));
+    assert!(!tracker.may_prove());
+    assert!(tracker.is_before_lost(2) && !tracker.is_before_lost(3));
+}
+
+/// Guards against keys that are closed at every restore until the configuration has been read in the new era.
+#[test]
+fn a_version_of_an_earlier_era_is_not_lost_before_the_store_has_been_read() {
+    let mut tracker = confirmed();
+    tracker.note_version(3, 5.into());
+    tracker.begin_era(1, at_ms(1_000));
+    tracker.note_published(3, 5.into());
+    assert!(!tracker.is_behind() && !tracker.is_before_lost(2));
+    assert!(!tracker.may_prove());
+}
+
+#[test]
+fn without_eras_an_older_version_that_is_written_later_is_no_loss() {
+    let mut tracker = confirmed();
+    tracker.note_version(3, 5.into());
+    tracker.note_read(9);
+    tracker.note_version(2, 9.into());
+    tracker.note_published(4, 7.into());
+    assert!(tracker.may_prove());
+}
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -8,7 +8,10 @@
     clock::Moment,
     configuration::{Endpoint, Route, RouteKind, Stage, Team},
     contract::quota::WaitLimits,
-    dialect::{AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect, UnreadableRoute},
+    dialect::{
+        AnswerFacts, Changes, Dialect, Page, RequestFacts, StoreDialect, StoreRevision,
+        UnreadableRoute,
+    },
     entry::Entry,
     names::EndpointName,
     settings::{Bounds, DirectSettings},
@@ -87,17 +90,18 @@
         endpoints_prefix: "endpoints/",
         list_path: |_, _| String::new(),
         watch_path: |_, _, _| String::new(),
+        era: |_| Ok(None),
         page: |_| {
             Ok(Page {
                 items: Vec::new(),
                 has_more: false,
-                revision: 0,
+                revision: StoreRevision::default(),
             })
         },
         changes: |_| {
             Ok(Changes {
                 items: Vec::new(),
-                revision: 0,
+                revision: StoreRevision::default(),
             })
         },
         configuration: |_, _| None,
