--- a/crates/camphorwall-direct/src/contract/quota_histories_tests.rs
+++ b/crates/camphorwall-direct/src/contract/quota_histories_tests.rs
@@ -409,6 +409,18 @@
     }
 }
 
+/// Guards against parts of a fleet that each spend a team's whole rate until they notice that they are cut off from each
+/// other, which takes half a second.
+#[test]
+fn a_fleet_that_is_cut_in_many_parts_at_ten_times_a_teams_rate_stays_within_the_tolerance() {
+    let team = team(RATE_PER_S, RATE_PER_S);
+    let variant = Variant::Correct;
+    let worst = (1..=3).map(|seed| run(36, &team, 10.0, Faults::CutInMany, variant, seed).worst());
+    let worst = worst.fold(0.0, f64::max);
+    println!("{:.3} of the bound", worst / bound(&team));
+    assert!(worst <= bound(&team), "{worst} of {}", bound(&team));
+}
+
 #[rstest]
 fn histories_catch_entries_that_each_spend_the_whole_contract(
     #[values(Faults::KilledTogether, Faults::CutInTwo, Faults::CutInMany)] faults: Faults,
