Let teams spend at entries that have just started until peers count as silent

What callers saw, in histories: after kills of all entries a hot team got as little as 0.80 of its rate in a window of a flood (4 entries; 0.86 with 12).

Cause: seeds that had not sent a heartbeat yet counted as silent, so an entry had the share of one until their first heartbeats, also of its teams' bursts.

Change: a peer whose address has just become known counts as heard for half a second, as before the shares were divided. Unreported buckets begin with 0.4 of a burst instead of 0.5, so that quick restarts stay within the tolerance.

--- a/crates/camphorwall-direct/src/contract/quota.rs
+++ b/crates/camphorwall-direct/src/contract/quota.rs
@@ -5,7 +5,7 @@
 //! rate, and of the burst if it hears no more than half of the fleet. The peer does the same with the shares of its
 //! silent peers, so that both sides of a partition together stay within the tolerance of one contract.
 //!
-//! An entry that starts doesn't know what its predecessor has charged, so its buckets are half full unless they are small
+//! An entry that starts doesn't know what its predecessor has charged, so its buckets are partly full unless they are small
 //! or a peer has reported a level.
 
 use std::{collections::HashMap, time::Duration};
@@ -32,8 +32,8 @@
 const START_PERIOD: Duration = Duration::from_secs(8);
 
 /// Part of a burst in a bucket whose level is not known after a start. If all entries start four times in a window, they
-/// charge two further bursts, which the tolerance of contracts covers.
-const START_LEVEL: f64 = 0.5;
+/// charge 1.6 further bursts, which the tolerance of contracts covers.
+const START_LEVEL: f64 = 0.4;
 
 /// Burst up to which a bucket is full after a start. The fixed part of the tolerance of contracts is 120,000 tokens.
 const FULL_START_TOKENS: f64 = 20_000.0;
--- a/crates/camphorwall-direct/src/fleet/shares.rs
+++ b/crates/camphorwall-direct/src/fleet/shares.rs
@@ -110,8 +110,9 @@
         let fleet = self.active();
         let heard_within = |time: Duration| {
             let is_heard = |member: &&Member| {
-                let is_recent = now.since(member.seen_at) <= time;
-                member.is_heard && member.ended_at.is_none() && is_recent
+                // A peer whose address has just become known may not have sent a heartbeat yet.
+                let time = if member.is_heard { time } else { SILENT_AFTER };
+                member.ended_at.is_none() && now.since(member.seen_at) <= time
             };
             self.members.values().filter(is_heard).count() + 1
         };
@@ -121,7 +122,7 @@
             let is_withheld = |member: &&Member| {
                 let silence = now.since(member.seen_at);
                 let may_charge = member.ended_at.is_none() && silence <= takeover;
-                may_charge && (silence > SILENT_AFTER || !member.is_heard)
+                may_charge && silence > SILENT_AFTER
             };
             let withheld = self.members.values().filter(is_withheld).count();
             usable_share(fleet, withheld)
--- a/crates/camphorwall-direct/src/fleet/shares_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/shares_tests.rs
@@ -122,3 +122,14 @@
     assert!((share_at(6_000) - 0.8).abs() < 1e-9);
     assert!((share_at(6_100) - 1.0).abs() < 1e-9);
 }
+
+/// An entry that starts had almost nothing of its teams' bursts until its peers' first heartbeats.
+#[test]
+fn an_entry_that_starts_spends_the_whole_rate_until_its_seeds_count_as_silent() {
+    let mut shares = Shares::default();
+    shares.learn(address(2), at_ms(0));
+    shares.learn(address(3), at_ms(0));
+    let share_at = |now_ms| shares.rate_share(Duration::from_secs(6), at_ms(now_ms));
+    assert!((share_at(500) - 1.0).abs() < 1e-9);
+    assert!((share_at(600) - 1.0 / 9.0).abs() < 1e-9);
+}
