--- a/crates/camphorwall-direct/src/contract/homes.rs
+++ b/crates/camphorwall-direct/src/contract/homes.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     configuration::{Configuration, Route, Team},
+    dialect::StoreRevision,
     endpoints::registry::Registry,
     names::RegionName,
 };
@@ -61,7 +62,7 @@
 }
 
 /// Version and revision of a configuration.
-type ConfigurationId = (u64, u64);
+type ConfigurationId = (u64, StoreRevision);
 
 /// Homes of one request, as the newest configuration gives them for its route and team.
 pub(crate) struct RequestHomes {
--- a/crates/camphorwall-direct/src/endpoints/evacuation.rs
+++ b/crates/camphorwall-direct/src/endpoints/evacuation.rs
@@ -150,6 +150,17 @@
             .retain(|_, ended_at| Some(*ended_at) > self.revision);
     }
 
+    /// Begins an era of the store in which revisions start again. The evacuations stay in force until a list of the new era
+    /// shows that they ended.
+    pub(crate) fn begin_era(&mut self) {
+        for evacuation in self.evacuated.values_mut() {
+            evacuation.revision = 0;
+        }
+        self.ended.clear();
+        self.revision = self.revision.map(|_| 0);
+        self.changed_at = 0;
+    }
+
     /// What followers are told; `None` before the first list.
     pub(crate) fn report(&self) -> Option<ReportedEvacuations> {
         let evacuated = self.evacuated.iter();
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -109,6 +109,8 @@
     pub(crate) reads_store: Cell<bool>,
     /// Whether a watch of all keys of the store is under way.
     pub(crate) is_watching_all: Cell<bool>,
+    /// Number of times the store had been restored at its last answer; `None` before the first.
+    pub(crate) store_era: Cell<Option<u64>>,
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
@@ -206,6 +208,7 @@
             recent: RefCell::default(),
             mirror: RefCell::default(),
             reads_store: Cell::new(false),
+            store_era: Cell::new(None),
             quotas: RefCell::new(Quotas::new(Moment::now())),
             retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
             is_watching_all: Cell::new(false),
@@ -577,6 +580,7 @@
             allowance_entries: peers.shares.divisor(now).unwrap_or(0),
             evacuated_centres: registry.evacuated_centres(),
             reads_store: self.reads_store.get(),
+            store_era: self.store_era.get().unwrap_or(0),
             log_lines_dropped: self.log.as_ref().map_or(0, LogRing::dropped),
             memory_held_bytes: self.memory.held_bytes(),
             memory_limit_bytes: self.memory.limit_bytes(),
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -14,6 +14,7 @@
     },
     clock::Moment,
     contract::quota::ReportedAccount,
+    dialect::StoreRevision,
     endpoints::{
         cold::{MemberId, ReportedSplit},
         cold_times::ReportedColdTime,
@@ -71,7 +72,9 @@
     /// Whether the entry reads the store itself, so that peers may follow it.
     pub(crate) reads_store: bool,
     /// Revision of the store up to which an entry with a sound way to it has seen all changes.
-    pub(crate) sound_revision: u64,
+    pub(crate) sound_revision: StoreRevision,
+    /// Version of the configuration in force, 0 without one, and the revision of the store at which it was written.
+    pub(crate) configuration: (u64, StoreRevision),
     /// Rate of the entry's link; 0 if it is not known.
     pub(crate) link_mbps: u32,
     /// Whether the entry serves callers with keys.
@@ -297,6 +300,19 @@
         }
     }
 
+    /// Adds reported addresses. They count as known from now on, but no heartbeat has come from them yet.
+    fn learn(&mut self, reported: &[SocketAddr], now: Moment) {
+        for address in reported {
+            let is_new = !self.known.contains_key(address) && !self.departed.contains_key(address);
+            let is_peer =
+                *address != self.local_address && address.port() == self.local_address.port();
+            if is_peer && is_new && self.known.len() < MAX_KNOWN_PEERS {
+                self.known.insert(*address, Peer::not_yet_seen(now));
+                self.shares.learn(*address, now);
+            }
+        }
+    }
+
     /// Forgets a peer that sent a goodbye.
     fn remove_departed(
         &mut self,
@@ -402,6 +418,7 @@
             data_centre: peers.data_centre,
             reads_store: entry.reads_store.get() && !entry.is_leaving(),
             sound_revision: entry.registry.borrow().contact.sound_revision(),
+            configuration: configuration_in_force(entry),
             link_mbps: entry.settings().link_mbps_or_zero(),
             is_serving: entry.is_serving(now),
             fleet_size: peers.shares.own_size(),
@@ -430,6 +447,13 @@
     }
 }
 
+fn configuration_in_force(entry: &Entry) -> (u64, StoreRevision) {
+    let registry = entry.registry.borrow();
+    let in_force = registry.configuration();
+    let version = in_force.map_or(0, |current| current.version);
+    (version, registry.configuration_revision())
+}
+
 /// Receives heartbeats until the entry's tasks are dropped.
 pub(crate) async fn receive_heartbeats(entry: Rc<Entry>, socket: UdpSocket) {
     let mut buffer = Vec::with_capacity(MAX_HEARTBEAT_BYTES);
@@ -470,17 +494,7 @@
         return;
     }
     peers.departed.remove(&from);
-    let local_address = entry.settings().peer_address;
-    for address in heartbeat.peers {
-        // A reported address counts as known from now on, but no heartbeat has come from it yet.
-        let is_new = !peers.known.contains_key(&address) && !peers.departed.contains_key(&address);
-        let has_room = peers.known.len() < MAX_KNOWN_PEERS;
-        if address != local_address && address.port() == local_address.port() && is_new && has_room
-        {
-            peers.known.insert(address, Peer::not_yet_seen(now));
-            peers.shares.learn(address, now);
-        }
-    }
+    peers.learn(&heartbeat.peers, now);
     if peers.known.len() >= MAX_KNOWN_PEERS && !peers.known.contains_key(&from) {
         tracing::debug!(event = "peer_not_kept", %from);
         return;
@@ -512,12 +526,12 @@
     peers.note_waiting(from, &heartbeat.waiting, now);
     drop(peers);
     entry.note_cold_peer(heartbeat.incarnation, heartbeat.cold, now);
-    {
-        let mut registry = entry.registry.borrow_mut();
-        registry
-            .contact
-            .note_sound_revision(heartbeat.sound_revision);
-    }
+    note_store_state(
+        entry,
+        from,
+        heartbeat.sound_revision,
+        heartbeat.configuration,
+    );
     for leaving in heartbeat.leaving {
         if entry.notices.borrow_mut().note_peer(leaving, now) {
             let registry = entry.registry.borrow();
@@ -547,6 +561,27 @@
     }
 }
 
+/// Records what a peer knows of the store.
+fn note_store_state(
+    entry: &Entry,
+    from: SocketAddr,
+    sound_revision: StoreRevision,
+    (version, revision): (u64, StoreRevision),
+) {
+    let mut registry = entry.registry.borrow_mut();
+    registry.contact.note_sound_revision(sound_revision);
+    let mut tracker = entry.tracker.borrow_mut();
+    let was_behind = tracker.is_behind();
+    tracker.note_published(version, revision);
+    if tracker.is_behind() && !was_behind {
+        tracing::warn!(event = "configuration_behind", version, %revision, %from);
+    }
+    let in_force = registry.configuration().map(|current| current.version);
+    if in_force.is_some_and(|in_force| tracker.is_before_lost(in_force)) {
+        registry.withdraw_proofs();
+    }
+}
+
 fn forget_departed(entry: &Entry) {
     let now = Moment::now();
     entry.log_cold_changes(now);
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -54,7 +54,7 @@
 pub use dialect::{
     AnswerFacts, Changes, ConfigurationDraft, Dialect, DraftConfiguration, ForwardingFacts,
     KvHandle, Page, PromptPart, RequestFacts, SizedPart, StatedLoad, StoreDialect, StoreItem,
-    UnreadableConfiguration, UnreadableReason, UnreadableRoute,
+    StoreRevision, UnreadableConfiguration, UnreadableReason, UnreadableRoute,
 };
 pub use fleet::signals::watch_signals;
 pub use names::{DataCentreName, EndpointName, InstanceName, RegionName, ServiceName, TeamName};
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -102,6 +102,7 @@
     pub(crate) allowance_entries: usize,
     pub(crate) evacuated_centres: usize,
     pub(crate) reads_store: bool,
+    pub(crate) store_era: u64,
     pub(crate) log_lines_dropped: u64,
     pub(crate) memory_held_bytes: usize,
     pub(crate) memory_limit_bytes: usize,
@@ -133,6 +134,7 @@
     allowance_entries: Gauge<u64, AtomicU64>,
     evacuated_centres: Gauge<u64, AtomicU64>,
     reads_store: Gauge<u64, AtomicU64>,
+    store_era: Gauge<u64, AtomicU64>,
     log_lines_dropped: Gauge<u64, AtomicU64>,
     memory_held_bytes: Gauge<u64, AtomicU64>,
     memory_limit_bytes: Gauge<u64, AtomicU64>,
@@ -184,6 +186,7 @@
             allowance_entries: Gauge::default(),
             evacuated_centres: Gauge::default(),
             reads_store: Gauge::default(),
+            store_era: Gauge::default(),
             log_lines_dropped: Gauge::default(),
             memory_held_bytes: Gauge::default(),
             memory_limit_bytes: Gauge::default(),
@@ -300,6 +303,11 @@
             "1 while the entry reads the store for its data centre, 0 while it follows another",
             &self.reads_store,
         );
+        gauge(
+            "store_era",
+            "Times the store was restored from a copy",
+            &self.store_era,
+        );
         gauge(
             "log_lines_dropped",
             "Log lines that found the ring full",
@@ -440,6 +448,7 @@
         self.allowance_entries.set(gauges.allowance_entries as u64);
         self.evacuated_centres.set(gauges.evacuated_centres as u64);
         self.reads_store.set(u64::from(gauges.reads_store));
+        self.store_era.set(gauges.store_era);
         self.log_lines_dropped.set(gauges.log_lines_dropped);
         self.memory_held_bytes.set(gauges.memory_held_bytes as u64);
         self.memory_limit_bytes
--- a/crates/camphorwall-direct/src/store/evacuations.rs
+++ b/crates/camphorwall-direct/src/store/evacuations.rs
@@ -10,7 +10,7 @@
 };
 use crate::{
     clock::Moment,
-    dialect::{Changes, StoreItem},
+    dialect::{Changes, StoreItem, StoreRevision},
     endpoints::evacuation::{ChangedCentre, EvacuatedCentre, EvacuationChange},
     entry::Entry,
     names::DataCentreName,
@@ -27,7 +27,9 @@
     let mut was_covered = false;
     loop {
         let known = entry.registry.borrow().evacuations.revision();
-        let followed = match known.filter(|_| !is_list_needed) {
+        // Nothing is known of an era that has just begun.
+        let is_listed = |known: &u64| *known > 0 && !is_list_needed;
+        let followed = match known.filter(is_listed) {
             None => list_evacuations(&entry).await,
             Some(known) => {
                 let is_covered = is_covered(&entry, known);
@@ -47,7 +49,7 @@
                     compio::time::sleep(CHANGES_PAUSE).await;
                 }
             }
-            Err(StoreError::HistoryDiscarded) => is_list_needed = true,
+            Err(StoreError::HistoryDiscarded | StoreError::Restored) => is_list_needed = true,
             Err(error) => {
                 if !has_failed {
                     tracing::warn!(event = "evacuations_not_read", %error);
@@ -67,7 +69,7 @@
         return true;
     }
     let newest_to = entry.tracker.borrow().newest_to();
-    entry.is_watching_all.get() && newest_to.is_some_and(|newest_to| newest_to <= known)
+    entry.is_watching_all.get() && newest_to.is_some_and(|newest_to| newest_to.number <= known)
 }
 
 /// Lists all evacuations.
@@ -76,6 +78,7 @@
     let prefix = entry.dialect.store.evacuations_prefix;
     let (items, revision) = list(entry, prefix).await?;
     apply_listed(entry, &items, revision);
+    let revision = revision.number;
     let mut registry = entry.registry.borrow_mut();
     registry.evacuations.advance(revision, Some(known_to));
     Ok(revision)
@@ -95,7 +98,7 @@
     }
     let elapsed = Moment::now().since(sent_at);
     let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
-    let revision = changes.revision.max(after);
+    let revision = changes.revision.number.max(after);
     let mut registry = entry.registry.borrow_mut();
     registry.evacuations.advance(revision, Some(known_to));
     drop(registry);
@@ -115,7 +118,7 @@
         let mut registry = entry.registry.borrow_mut();
         let is_evacuated = item.value.is_some();
         let evacuations = &mut registry.evacuations;
-        let change = evacuations.apply(&name, is_evacuated, item.revision, Moment::now());
+        let change = evacuations.apply(&name, is_evacuated, item.revision.number, Moment::now());
         drop(registry);
         enforce(entry, change.as_slice());
     }
@@ -123,15 +126,15 @@
 }
 
 /// Applies a list of items that contains all evacuations, which began at a revision.
-pub(super) fn apply_listed(entry: &Entry, items: &[StoreItem], revision: u64) {
+pub(super) fn apply_listed(entry: &Entry, items: &[StoreItem], revision: StoreRevision) {
     let prefix = entry.dialect.store.evacuations_prefix;
     let evacuations = items.iter().filter(|item| item.key.starts_with(prefix));
     let evacuated = evacuations.filter_map(|item| {
         let name = evacuated_centre(entry, item)?;
-        Some((name, item.revision))
+        Some((name, item.revision.number))
     });
     let evacuated: Vec<_> = evacuated.collect();
-    apply_evacuated(entry, &evacuated, revision);
+    apply_evacuated(entry, &evacuated, revision.number);
 }
 
 /// Applies a complete list of evacuated data centres, as of a revision.
@@ -162,7 +165,7 @@
         tracing::warn!(
             event = "evacuation_unreadable",
             key,
-            revision = item.revision
+            revision = %item.revision
         );
         return None;
     }
--- a/crates/camphorwall-direct/src/store/evacuations_tests.rs
+++ b/crates/camphorwall-direct/src/store/evacuations_tests.rs
@@ -14,7 +14,7 @@
     StoreItem {
         key: key.into(),
         value: is_evacuated.then(Bytes::new),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -23,7 +23,7 @@
 #[compio::test]
 async fn a_watch_that_began_after_the_known_revision_proves_nothing() {
     let entry = entry_with_empty_dialect();
-    apply_listed(&entry, &[], 5);
+    apply_listed(&entry, &[], 5.into());
     entry.tracker.borrow_mut().confirm(9);
     entry.is_watching_all.set(true);
     assert!(!is_covered(&entry, 5));
@@ -40,7 +40,7 @@
 #[compio::test]
 async fn a_watch_of_endpoints_shows_no_evacuations() {
     let entry = entry_with_empty_dialect();
-    apply_listed(&entry, &[], 5);
+    apply_listed(&entry, &[], 5.into());
     entry.tracker.borrow_mut().confirm(5);
     assert!(!is_covered(&entry, 5));
     entry.is_watching_all.set(true);
@@ -54,7 +54,7 @@
 #[compio::test]
 async fn nothing_is_asked_while_calls_to_the_store_fail() {
     let entry = entry_with_empty_dialect();
-    apply_listed(&entry, &[], 5);
+    apply_listed(&entry, &[], 5.into());
     assert!(!is_covered(&entry, 5));
     let since = Moment::now() - Duration::from_secs(1);
     entry.registry.borrow_mut().contact.note_failure(since);
@@ -78,6 +78,6 @@
         item("configuration", true, 3),
         item("evacuations/", true, 4),
     ];
-    apply_listed(&entry, &listed, 6);
+    apply_listed(&entry, &listed, 6.into());
     assert_eq!(evacuated(&entry), 0);
 }
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod configuration;
+mod era;
 mod evacuations;
 mod follow;
 mod mirror;
