Queue plain calls at the entry while endpoints are full

Each entry now limits its calls at the endpoints of a service together, by their refusals and by the time that answers take, from the first refusal on. Calls beyond the limit wait at the entry: those that can be in time first, then by priority, then by team. Calls that would get no place in time are refused at once. Queued are calls of services for which priorities compete or whose endpoints state how long work takes, or where the settings say so.

--- a/crates/camphorwall-direct/src/balance/mod.rs
+++ b/crates/camphorwall-direct/src/balance/mod.rs
@@ -1,9 +1,11 @@
 //! Chooses endpoints for requests and holds requests that wait for capacity.
 
 pub(crate) mod choice;
+pub(crate) mod contention;
 pub(crate) mod lengths;
 pub(crate) mod loads;
 pub(crate) mod placement;
+pub(crate) mod plain_queue;
 pub(crate) mod prefixes;
 pub(crate) mod return_queue;
 pub(crate) mod speeds;
@@ -11,6 +13,8 @@
 #[cfg(test)]
 mod choice_tests;
 #[cfg(test)]
+mod contention_tests;
+#[cfg(test)]
 mod expected_times_tests;
 #[cfg(test)]
 mod lengths_tests;
--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -12,7 +12,8 @@
 use crate::{
     balance::{
         choice::{Candidate, FillLimit, choose_decode},
-        loads::{ForecastRun, Work, WorkId, endpoint_key, service_key},
+        loads::{ForecastRun, Run, Work, WorkId, endpoint_key, service_key},
+        plain_queue::CallGuard,
         prefixes::CacheState,
     },
     clock::Moment,
@@ -67,7 +68,7 @@
 const MAX_ROUNDS: usize = 6;
 
 /// Maximum number of waiting requests that are reported to peers.
-const MAX_REPORTED_WAITERS: usize = 8;
+pub(crate) const MAX_REPORTED_WAITERS: usize = 8;
 
 /// A request that waits at an entry, as reported to its peers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -118,11 +119,27 @@
     work: WorkId,
     /// Whether the endpoint has returned from a hold-off and counts this request.
     is_trial: bool,
+    /// Counts a plain call against its endpoint's limit.
+    _call: Option<CallGuard>,
 }
 
 impl Placement {
     /// Records work at an endpoint, and wakes the task that reports it to the peers.
     pub(crate) fn new(entry: &Rc<Entry>, endpoint: Rc<Endpoint>, work: Work) -> Self {
+        Self::with_call(entry, endpoint, work, None)
+    }
+
+    /// Records a plain call that counts against its endpoint's limit.
+    pub(crate) fn of_call(entry: &Rc<Entry>, endpoint: Rc<Endpoint>, call: CallGuard) -> Self {
+        Self::with_call(entry, endpoint, Work::Fixed(Run::default()), Some(call))
+    }
+
+    fn with_call(
+        entry: &Rc<Entry>,
+        endpoint: Rc<Endpoint>,
+        work: Work,
+        call: Option<CallGuard>,
+    ) -> Self {
         let work = entry.loads.borrow_mut().begin(&endpoint.id, work);
         entry.note_chosen(&endpoint);
         entry.work_changes.notify();
@@ -133,6 +150,7 @@
             endpoint,
             work,
             is_trial,
+            _call: call,
         }
     }
 
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     balance::{
-        lengths::LengthModel, loads::Loads, placement::PlacementQueue, prefixes::PrefixIndex,
-        return_queue::ReturnQueue, speeds::Speeds,
+        lengths::LengthModel, loads::Loads, placement::PlacementQueue, plain_queue::PlainQueue,
+        prefixes::PrefixIndex, return_queue::ReturnQueue, speeds::Speeds,
     },
     clock::Moment,
     configuration::{Endpoint, RouteKind, Stage},
@@ -122,6 +122,7 @@
     pub(crate) poison: RefCell<Poison>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placement_queue: PlacementQueue,
+    pub(crate) plain_queue: PlainQueue,
     /// Notified when this entry's work changes in a way that should be reported to peers at once.
     pub(crate) work_changes: Notify,
     pub(crate) tasks: TaskGroup,
@@ -220,6 +221,7 @@
             poison: RefCell::default(),
             peers: RefCell::new(peers),
             placement_queue: PlacementQueue::default(),
+            plain_queue: PlainQueue::default(),
             work_changes: Notify::default(),
             tasks: TaskGroup::default(),
             metrics: Metrics::default(),
@@ -343,6 +345,21 @@
         self.retries.borrow_mut().give_back(service);
     }
 
+    /// Whether plain calls of a service wait here for endpoints with room: where the settings say so, and else where requests of
+    /// different priorities compete for them or endpoints state how long work takes on machines that they share.
+    pub(crate) fn queues_plain_calls(&self, service: &ServiceName) -> bool {
+        let settings = self.settings();
+        let setting = settings.queue_plain_calls;
+        let shares_machines = || {
+            let speeds = self.speeds.borrow();
+            speeds.is_in_effect(service, settings.expected_times, Moment::now())
+        };
+        let registry = self.registry.borrow();
+        self.plain_queue
+            .is_on(setting, registry.configuration(), service)
+            || (setting.is_none() && shares_machines())
+    }
+
     /// Share of each team's rate that this entry may spend.
     pub(crate) fn quota_share(&self, now: Moment) -> f64 {
         let peers = self.peers.borrow();
@@ -571,7 +588,7 @@
             unreadable_parts: configuration.map_or(0, |current| current.unreadable.count()),
             cold_endpoints: self.cold_endpoints(),
             active: self.active_requests.get(),
-            waiting: self.placement_queue.waiting(),
+            waiting: self.placement_queue.waiting() + self.plain_queue.waiting(),
             peers_known: peers.count() - 1,
             peers_silent: peers.silent(self.keys_rejected_after(), now),
             allowance_entries: peers.shares.divisor(now).unwrap_or(0),
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -9,7 +9,7 @@
 use crate::{
     balance::{
         loads::ReportedWork,
-        placement::{QueueRank, ReportedWaiter},
+        placement::{MAX_REPORTED_WAITERS, QueueRank, ReportedWaiter},
         speeds::ReportedSpeed,
     },
     clock::Moment,
@@ -270,6 +270,17 @@
         waiting.filter(goes_before).count()
     }
 
+    /// Whether requests wait at peers for a service that are more urgent than one with the given rank, and not later.
+    pub(crate) fn has_more_urgent(&self, service: u64, rank: QueueRank, now: Moment) -> bool {
+        let active = self.known.values();
+        let active = active.filter(|peer| now.since(peer.last_seen_at) <= SILENT_AFTER);
+        let mut waiting = active.flat_map(|peer| &peer.waiting);
+        waiting.any(|(its_service, other)| {
+            *its_service == service
+                && (other.is_late, other.priority) < (rank.is_late, rank.priority)
+        })
+    }
+
     /// Addresses of peers that are not silent. Silent ones are left out because entries that report a dead peer to each
     /// other would never forget it.
     fn active_addresses(&self, now: Moment) -> Vec<SocketAddr> {
@@ -374,6 +385,14 @@
     Duration::from_secs(1).saturating_mul(peers) / MAX_CHANGE_DATAGRAMS_PER_S
 }
 
+/// The first requests that wait for endpoints, plain calls included.
+fn report_waiters(entry: &Entry, now: Moment) -> Vec<ReportedWaiter> {
+    let mut waiting = entry.placement_queue.report_waiters(now);
+    let left = MAX_REPORTED_WAITERS - waiting.len();
+    waiting.extend(entry.plain_queue.report_waiters(left, now));
+    waiting
+}
+
 async fn send_heartbeat(entry: &Entry, socket: &UdpSocket, content: HeartbeatContent) {
     let (addresses, heartbeat) = {
         let now = Moment::now();
@@ -409,7 +428,7 @@
             accounts,
             work,
             results: entry.suspicions.borrow_mut().report(),
-            waiting: entry.placement_queue.report_waiters(now),
+            waiting: report_waiters(entry, now),
             leaving: entry.notices.borrow_mut().report(now),
             suspects: entry.poison.borrow_mut().report(now),
             cold: entry.report_cold(now),
@@ -544,6 +563,7 @@
     loads.note_peer(heartbeat.incarnation, heartbeat.work);
     if may_free {
         entry.placement_queue.notify();
+        entry.plain_queue.notify();
     }
 }
 
--- a/crates/camphorwall-direct/src/request_log.rs
+++ b/crates/camphorwall-direct/src/request_log.rs
@@ -39,7 +39,7 @@
     pub(crate) tokens: Cell<f64>,
     /// Time spent waiting for the team's tokens.
     pub(crate) quota_wait: Cell<Duration>,
-    /// Time spent waiting for a decode placement.
+    /// Time spent waiting for a decode placement, or for an endpoint with room for a plain call.
     pub(crate) placement_wait: Cell<Duration>,
     /// Endpoints that were not considered because they leave or asked for no requests.
     pub(crate) passed_over: Cell<usize>,
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -14,7 +14,8 @@
         choice::{Expectation, choose_plain, expect_plain},
         loads::{Run, Work},
         placement::{Placement, candidates},
-        return_queue::{choose_in_turn, retry_after_refusals},
+        plain_queue::{self, Place},
+        return_queue::{choose_in_turn, retry_after_refusals, returns_at},
     },
     clock::Moment,
     configuration::{Endpoint, Stage},
@@ -22,6 +23,7 @@
     entry::Entry,
     memory_pool::MemoryShare,
     request::{Admitted, TRANSIENT_RETRY_AFTER},
+    request_log::RequestLog,
     serve::{
         outcome::{AttemptOutcome, Progress, attempt, note_actual_time},
         refusal::Refusal,
@@ -70,13 +72,13 @@
 ) -> Result<Response<BoxedBody>, Refusal> {
     let expectation = Cell::new(None);
     loop {
-        let next = next_endpoint(entry, admitted, progress, &expectation);
-        let Some(endpoint) = next.await? else {
+        let next = next_place(entry, admitted, progress, &expectation);
+        let Some(placement) = next.await? else {
             let stage = admitted.stage();
             return Err(progress.no_endpoint(entry, admitted, stage, TRANSIENT_RETRY_AFTER));
         };
+        let endpoint = Rc::clone(&placement.endpoint);
         progress.check_harmless(entry, admitted)?;
-        let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(Run::default()));
         let sent_at = Moment::now();
         progress.begin(admitted, &endpoint.id);
         let can_retry = progress.may_retry(admitted);
@@ -85,6 +87,7 @@
         } else {
             attempt_once(entry, admitted, &endpoint).await
         };
+        note_outcome(entry, admitted, &endpoint, sent_at, &outcome);
         let failure = match outcome {
             AttemptOutcome::Answered(answer) => {
                 let is_failure = answer.parts.status.is_server_error();
@@ -160,6 +163,67 @@
     })
 }
 
+/// Records what the result of an attempt says of the room at its endpoint.
+fn note_outcome(
+    entry: &Entry,
+    admitted: &Admitted,
+    endpoint: &Endpoint,
+    sent_at: Moment,
+    outcome: &AttemptOutcome,
+) {
+    if !entry.queues_plain_calls(&admitted.service) {
+        return;
+    }
+    let target = Duration::from_millis(admitted.route.target_ms);
+    let queue = &entry.plain_queue;
+    match outcome {
+        AttemptOutcome::Answered(_) => queue.note_answered(endpoint, sent_at, target),
+        AttemptOutcome::NotRun | AttemptOutcome::NotSent => queue.note_refused(endpoint, sent_at),
+        AttemptOutcome::Failed => queue.note_failed(endpoint, sent_at),
+    }
+}
+
+/// A place for the next attempt; waits for one where calls are queued.
+async fn next_place(
+    entry: &Rc<Entry>,
+    admitted: &Admitted,
+    progress: &Progress,
+    expectation: &Cell<Option<Expectation>>,
+) -> Result<Option<Placement>, Refusal> {
+    let has_hold_offs = || {
+        let now = Moment::now();
+        let (service, excluded) = (&admitted.service, &progress.excluded);
+        returns_at(
+            entry,
+            service,
+            admitted.stage(),
+            &admitted.homes,
+            excluded,
+            now,
+        )
+        .is_some()
+    };
+    if !entry.queues_plain_calls(&admitted.service) || has_hold_offs() {
+        let endpoint = next_endpoint(entry, admitted, progress, expectation).await?;
+        let placement =
+            endpoint.map(|endpoint| Placement::new(entry, endpoint, Work::Fixed(Run::default())));
+        return Ok(placement);
+    }
+    let since = Moment::now();
+    let place = plain_queue::place(entry, admitted, &progress.excluded).await;
+    RequestLog::add_elapsed(&admitted.request_log.placement_wait, since);
+    match place {
+        Place::Given(placement, expected) => {
+            expectation.set(expected);
+            Ok(Some(placement))
+        }
+        Place::NoEndpoint => Ok(None),
+        Place::Refused(retry_after) => {
+            Err(progress.give_up(RequestEnd::EndpointsFull, retry_after))
+        }
+    }
+}
+
 async fn next_endpoint(
     entry: &Rc<Entry>,
     admitted: &Admitted,
--- a/crates/camphorwall-direct/src/serve/run.rs
+++ b/crates/camphorwall-direct/src/serve/run.rs
@@ -13,7 +13,7 @@
 use snafu::{ResultExt as _, Snafu};
 
 use crate::{
-    balance::placement,
+    balance::{placement, plain_queue},
     clock::Moment,
     dialect::Dialect,
     entry::{EXIT_MARGIN, Entry},
@@ -137,6 +137,7 @@
     background.spawn(store::follow_evacuations(Rc::clone(&entry)));
     background.spawn(store::keep_configuration(Rc::clone(&entry)));
     background.spawn(placement::run_placement_queue(Rc::clone(&entry)));
+    background.spawn(plain_queue::run_plain_queue(Rc::clone(&entry)));
     background.spawn(peers::send_heartbeats(Rc::clone(&entry), socket.clone()));
     background.spawn(peers::receive_heartbeats(Rc::clone(&entry), socket.clone()));
     let metrics_listener = match entry.settings().metrics_address {
--- a/crates/camphorwall-direct/src/settings.rs
+++ b/crates/camphorwall-direct/src/settings.rs
@@ -36,6 +36,9 @@
     pub link_mbps: Option<f64>,
     /// Memory limit of the process, in MiB.
     pub memory_mb: Option<usize>,
+    /// Whether plain calls wait at the entry while the endpoints of their service are full; without it, they do where
+    /// requests of different priorities compete for a service.
+    pub queue_plain_calls: Option<bool>,
     /// Whether choices compare expected times. Without it, they do for a service while its endpoints state their paces.
     pub expected_times: Option<bool>,
     /// Bounds that the deployment requires the system to keep.
--- a/crates/camphorwall-direct/src/testing.rs
+++ b/crates/camphorwall-direct/src/testing.rs
@@ -140,6 +140,7 @@
         max_open_files: None,
         link_mbps: None,
         memory_mb: None,
+        queue_plain_calls: None,
         expected_times: None,
         bounds: Bounds {
             configuration_apply_ms: None,
