Follow evacuations while the answer to a watch is arriving

An evacuation that was written while a large answer to the watch of all keys was on its way was followed only after that answer: an answer is read up to 64 KiB, which takes seconds on a slow link, and later changes are not in it. The task that watches evacuations took the watch for one that still waits.

The watch now counts as waiting only until the head of its answer arrives.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -108,7 +108,7 @@
     pub(crate) mirror: RefCell<StoreMirror>,
     /// Whether this entry reads the store itself.
     pub(crate) reads_store: Cell<bool>,
-    /// Whether a watch of all keys of the store is under way.
+    /// Whether a watch of all keys of the store waits for changes.
     pub(crate) is_watching_all: Cell<bool>,
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) retries: RefCell<RetryBudget>,
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -68,13 +68,24 @@
     path: &str,
     wait: Duration,
     max_bytes: usize,
+) -> Result<CallBody, StoreError> {
+    call_store_with(entry, path, wait, max_bytes, || ()).await
+}
+
+/// Calls the store as [`call_store`] does; `note_head` is called once the head of the answer has arrived.
+pub(super) async fn call_store_with(
+    entry: &Entry,
+    path: &str,
+    wait: Duration,
+    max_bytes: usize,
+    note_head: impl FnOnce(),
 ) -> Result<CallBody, StoreError> {
     let limits = CallLimits {
         head_timeout: wait + ANSWER_TIMEOUT,
         silence_timeout: ANSWER_TIMEOUT,
         max_bytes,
     };
-    call(entry.settings().store_address, path, limits).await
+    call(entry.settings().store_address, path, limits, note_head).await
 }
 
 /// Calls a reader, which may hold the call for a time.
@@ -88,7 +99,7 @@
         silence_timeout: READER_TIMEOUT,
         max_bytes: usize::MAX,
     };
-    call(reader, path, limits).await
+    call(reader, path, limits, || ()).await
 }
 
 /// Body of an answer, or its beginning if it is larger than the call allows.
@@ -98,9 +109,15 @@
 }
 
 /// Calls the store, or an entry that reads it, and returns the body of the answer.
-async fn call(store: SocketAddr, path: &str, limits: CallLimits) -> Result<CallBody, StoreError> {
+async fn call(
+    store: SocketAddr,
+    path: &str,
+    limits: CallLimits,
+    note_head: impl FnOnce(),
+) -> Result<CallBody, StoreError> {
     let began_at = Moment::now();
     let mut answer = answer_head(store, path, limits).await?;
+    note_head();
     let announced = announced_bytes(&answer.parts.headers);
     let mut body = BytesMut::new();
     let body_began_at = Moment::now();
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{self, Either};
 
 use super::{
-    call::{StoreError, call_reader, call_store},
+    call::{StoreError, call_reader, call_store, call_store_with},
     configuration::apply_configuration,
     evacuations::{apply_evacuated, apply_evacuation, note_watched_all},
     readers::{LocalEntry, Neighbour, Source, source},
@@ -281,7 +281,9 @@
     };
     let path = (store.watch_path)("", after, wait);
     entry.is_watching_all.set(true);
-    let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await;
+    // The body of a large answer may take seconds; later changes are not in it.
+    let note_head = || entry.is_watching_all.set(false);
+    let body = call_store_with(entry, &path, wait, MAX_WATCH_BYTES, note_head).await;
     entry.is_watching_all.set(false);
     let body = body?;
     note_store_answer(entry, sent_at, wait);
