--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -107,7 +107,7 @@
     pub(crate) mirror: RefCell<StoreMirror>,
     /// Whether this entry reads the store itself.
     pub(crate) reads_store: Cell<bool>,
-    /// Whether a watch of all keys of the store is under way.
+    /// Whether a watch of all keys of the store waits for changes.
     pub(crate) is_watching_all: Cell<bool>,
     /// Number of times the store had been restored at its last answer; `None` before the first.
     pub(crate) store_era: Cell<Option<u64>>,
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -73,6 +73,17 @@
     path: &str,
     wait: Duration,
     max_bytes: usize,
+) -> Result<CallBody, StoreError> {
+    call_store_with(entry, path, wait, max_bytes, || ()).await
+}
+
+/// Calls the store as [`call_store`] does; `note_head` is called once the head of the answer has arrived.
+pub(super) async fn call_store_with(
+    entry: &Entry,
+    path: &str,
+    wait: Duration,
+    max_bytes: usize,
+    note_head: impl FnOnce(),
 ) -> Result<CallBody, StoreError> {
     let limits = CallLimits {
         head_timeout: wait + ANSWER_TIMEOUT,
@@ -80,7 +91,14 @@
         max_bytes,
     };
     let known = entry.store_era.get();
-    let body = call(entry, entry.settings().store_address, path, limits).await?;
+    let body = call(
+        entry,
+        entry.settings().store_address,
+        path,
+        limits,
+        note_head,
+    )
+    .await?;
     let era = (entry.dialect.store.era)(&body.headers).map_err(StoreError::Failed)?;
     enter_era(entry, era.unwrap_or(0))?;
     if known.is_some() && known != entry.store_era.get() {
@@ -101,7 +119,7 @@
         silence_timeout: READER_TIMEOUT,
         max_bytes: usize::MAX,
     };
-    call(entry, reader, path, limits).await
+    call(entry, reader, path, limits, || ()).await
 }
 
 /// Body of an answer, or its beginning if it is larger than the call allows.
@@ -119,9 +137,11 @@
     store: SocketAddr,
     path: &str,
     limits: CallLimits,
+    note_head: impl FnOnce(),
 ) -> Result<CallBody, StoreError> {
     let began_at = Moment::now();
     let mut answer = answer_head(store, path, limits).await?;
+    note_head();
     let announced = announced_bytes(&answer.parts.headers);
     let mut body = BytesMut::new();
     let mut memory = entry.memory.share();
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{self, Either};
 
 use super::{
-    call::{StoreError, call_reader, call_store},
+    call::{StoreError, call_reader, call_store, call_store_with},
     configuration::apply_configuration,
     era::enter_era,
     evacuations::{apply_evacuated, apply_evacuation, note_watched_all},
@@ -303,7 +303,9 @@
     };
     let path = (store.watch_path)("", after.number, wait);
     entry.is_watching_all.set(true);
-    let body = call_store(entry, &path, wait, MAX_WATCH_BYTES).await;
+    // The body of a large answer may take seconds; later changes are not in it.
+    let note_head = || entry.is_watching_all.set(false);
+    let body = call_store_with(entry, &path, wait, MAX_WATCH_BYTES, note_head).await;
     entry.is_watching_all.set(false);
     let body = body?;
     note_store_answer(entry, sent_at, wait);
