--- a/crates/camphorwall-direct/src/balance/contention.rs
+++ b/crates/camphorwall-direct/src/balance/contention.rs
@@ -18,11 +18,14 @@
 const CONTENTION_MEMORY: Duration = Duration::from_secs(2);
 
 /// One of so many places goes to the call in time that has waited longest, so that urgent calls don't starve the others.
-const OLDEST_TURN: u64 = 4;
+const OLDEST_EVERY: u64 = 4;
 
 /// Time after a refusal in which an endpoint gets no calls from this entry: its queue needs it to become shorter.
 pub(crate) const REFUSAL_PAUSE: Duration = Duration::from_millis(40);
 
+/// Shortest mean Retry-After of a refused call, for when the pace of the places is not known.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Part of its limit that an entry uses while more urgent calls wait at other entries.
 const YIELDING_SHARE: f64 = 0.5;
 
@@ -42,7 +45,7 @@
     in_flight: u32,
     limit: Option<f64>,
     /// When an endpoint last refused a call or answered slowly.
-    pressed_at: Option<Moment>,
+    contended_at: Option<Moment>,
     reduced_at: Option<Moment>,
     /// Usual time of a call at an endpoint.
     call_time: Option<Duration>,
@@ -71,7 +74,7 @@
     /// Whether an endpoint has been full recently.
     #[must_use]
     pub(crate) fn is_limited(&self, now: Moment) -> bool {
-        self.pressed_at
+        self.contended_at
             .is_some_and(|at| now.since(at) <= CONTENTION_MEMORY)
     }
 
@@ -109,7 +112,7 @@
 
     /// Lowers the limit, once for all calls that were under way together.
     fn reduce(&mut self, sent_at: Moment, now: Moment) {
-        self.pressed_at = Some(now);
+        self.contended_at = Some(now);
         if self.reduced_at.is_none_or(|at| sent_at >= at) {
             self.limit = self.limit.map(|limit| (limit * DECREASE).max(1.0));
             self.reduced_at = Some(now);
@@ -145,7 +148,8 @@
     given: u64,
     /// Average time between two places while calls wait.
     interval: Option<Duration>,
-    given_at: Option<Moment>,
+    /// When the last place was given while other calls waited.
+    others_waited_since: Option<Moment>,
     /// The number of the last place that each team got.
     last_of_team: HashMap<u64, u64>,
 }
@@ -155,7 +159,7 @@
 
 impl Turns {
     /// Order in which waiting calls get the next places: those that can be in time first, then by priority, then the team whose
-    /// last place is the longest ago, then by arrival. Each [`OLDEST_TURN`]th place goes to the call in time that has waited
+    /// last place is the longest ago, then by arrival. Each [`OLDEST_EVERY`]th place goes to the call in time that has waited
     /// longest.
     pub(crate) fn order(&self, waiting: &[WaitingCall], now: Moment) -> Vec<usize> {
         let mut order: Vec<usize> = (0..waiting.len()).collect();
@@ -164,7 +168,7 @@
             let last = self.last_of_team.get(&call.team).copied().unwrap_or(0);
             (call.is_late(now), call.priority, last, call.since)
         });
-        if (self.given + 1).is_multiple_of(OLDEST_TURN) {
+        if (self.given + 1).is_multiple_of(OLDEST_EVERY) {
             let in_time = order
                 .iter()
                 .take_while(|index| !waiting[**index].is_late(now));
@@ -186,23 +190,34 @@
             self.last_of_team.clear();
         }
         self.last_of_team.insert(team, self.given);
-        let interval = self.given_at.map(|at| now.since(at));
-        self.given_at = Some(now);
-        // Without others waiting, the interval shows how often calls come rather than how fast places become free.
-        if let Some(interval) = interval.filter(|_| has_others_waiting) {
-            let known = self.interval.unwrap_or(interval);
-            self.interval = Some(
+        // After a place for the last waiting call, the interval shows how often calls come rather than how fast places
+        // become free.
+        let others_waited_since = std::mem::replace(
+            &mut self.others_waited_since,
+            has_others_waiting.then_some(now),
+        );
+        let Some(since) = others_waited_since else {
+            return;
+        };
+        let interval = now.since(since);
+        self.interval = match self.interval {
+            _ if interval > CONTENTION_MEMORY => None,
+            None => Some(interval),
+            Some(known) => Some(
                 known.mul_f64(1.0 - NEWEST_INTERVAL_WEIGHT)
                     + interval.mul_f64(NEWEST_INTERVAL_WEIGHT),
-            );
-        }
+            ),
+        };
     }
 
-    /// Time after which a call gets a place behind `ahead` others.
-    #[must_use]
-    pub(crate) fn expected_wait(&self, ahead: usize) -> Duration {
+    /// Time after which a call gets a place behind `ahead` others; zero if nothing recent is known.
+    fn expected_wait(&self, ahead: usize, now: Moment) -> Duration {
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        self.interval.unwrap_or_default().saturating_mul(ahead)
+        let is_recent = |at: Moment| now.since(at) <= CONTENTION_MEMORY;
+        let interval = self
+            .interval
+            .filter(|_| self.others_waited_since.is_some_and(is_recent));
+        interval.unwrap_or_default().saturating_mul(ahead)
     }
 
     /// Why a call behind `ahead` others can't be served, with its Retry-After; `None` if it may wait. `random` is uniform in
@@ -215,7 +230,7 @@
         random: f64,
         now: Moment,
     ) -> Option<Duration> {
-        let wait = self.expected_wait(ahead);
-        (now + wait > call.start_by).then(|| wait.mul_f64(0.5 + random))
+        let wait = self.expected_wait(ahead, now);
+        (now + wait > call.start_by).then(|| wait.max(MIN_RETRY_AFTER).mul_f64(0.5 + random))
     }
 }
--- a/crates/camphorwall-direct/src/balance/contention_tests.rs
+++ b/crates/camphorwall-direct/src/balance/contention_tests.rs
@@ -428,3 +428,26 @@
     let retry_after = turns.refusal(&call, 50, 0.5, now).expect("a refusal");
     assert!(retry_after > Duration::from_secs(4), "{retry_after:?}");
 }
+
+/// Guards against the idle time between two bursts that counts as the pace of the places, so that every call of the second
+/// burst is refused.
+#[test]
+fn the_time_between_bursts_says_nothing_of_the_pace_of_places() {
+    let mut turns = Turns::default();
+    for burst_ms in [0, 600_000] {
+        for number in 0..20 {
+            turns.note_given(0, number < 19, at_ms(burst_ms + number * 20));
+        }
+    }
+    let now = at_ms(1_200_000);
+    turns.note_given(0, true, now);
+    let call = Call {
+        priority: 0,
+        team: 0,
+        began_ms: 1_200_000,
+        arrived_ms: 1_200_000,
+        has_returned: false,
+    };
+    let call = waiting_call(call, &CallLimit::default());
+    assert_eq!(turns.refusal(&call, 5, 0.5, now), None);
+}
--- a/crates/camphorwall-direct/src/balance/placement.rs
+++ b/crates/camphorwall-direct/src/balance/placement.rs
@@ -119,7 +119,7 @@
     work: WorkId,
     /// Whether the endpoint has returned from a hold-off and counts this request.
     is_trial: bool,
-    /// Counts a plain call against its endpoint's limit.
+    /// Counts a plain call against its service's limit.
     _call: Option<CallGuard>,
 }
 
@@ -129,7 +129,7 @@
         Self::with_call(entry, endpoint, work, None)
     }
 
-    /// Records a plain call that counts against its endpoint's limit.
+    /// Records a plain call that counts against its service's limit.
     pub(crate) fn of_call(entry: &Rc<Entry>, endpoint: Rc<Endpoint>, call: CallGuard) -> Self {
         Self::with_call(entry, endpoint, Work::Fixed(Run::default()), Some(call))
     }
--- a/crates/camphorwall-direct/src/balance/plain_queue.rs
+++ b/crates/camphorwall-direct/src/balance/plain_queue.rs
@@ -37,7 +37,7 @@
     Given(Placement, Option<Expectation>),
     /// No endpoint will have room in time; the caller may return after this time.
     Refused(Duration),
-    /// No endpoint is known that takes the call.
+    /// No endpoint is known that takes the call at present.
     NoEndpoint,
 }
 
@@ -67,7 +67,7 @@
 
 /// Services for which calls are queued, by a version of the configuration.
 #[derive(Default)]
-struct Switch {
+struct QueuedServices {
     version: Option<u64>,
     services: HashMap<ServiceName, bool>,
 }
@@ -76,7 +76,7 @@
 #[derive(Default)]
 pub(crate) struct PlainQueue {
     services: RefCell<HashMap<ServiceName, ServiceQueue>>,
-    switch: RefCell<Switch>,
+    queued: RefCell<QueuedServices>,
     changes: Notify,
     waiting: Cell<usize>,
 }
@@ -144,16 +144,16 @@
         let Some(configuration) = configuration else {
             return false;
         };
-        let mut switch = self.switch.borrow_mut();
-        if switch.version != Some(configuration.version) {
-            switch.version = Some(configuration.version);
-            switch.services.clear();
+        let mut queued = self.queued.borrow_mut();
+        if queued.version != Some(configuration.version) {
+            queued.version = Some(configuration.version);
+            queued.services.clear();
         }
-        if let Some(is_on) = switch.services.get(service) {
+        if let Some(is_on) = queued.services.get(service) {
             return *is_on;
         }
         let is_on = has_competing_priorities(configuration, service);
-        switch.services.insert(service.clone(), is_on);
+        queued.services.insert(service.clone(), is_on);
         is_on
     }
 
@@ -201,7 +201,10 @@
         let services = self.services.borrow();
         let mut reported = Vec::new();
         for (service, queue) in services.iter() {
-            let calls: Vec<_> = queue.waiting.iter().map(|waiter| waiter.call).collect();
+            // Peers with endpoints in other regions needn't yield to a request that is restricted to some.
+            let waiting = queue.waiting.iter();
+            let waiting = waiting.filter(|waiter| !waiter.restrictions.homes.was_restricted());
+            let calls: Vec<_> = waiting.map(|waiter| waiter.call).collect();
             let order = queue.turns.order(&calls, now);
             let left = max - reported.len();
             reported.extend(order.into_iter().take(left).map(|index| {
@@ -256,7 +259,7 @@
                 return Place::Given(begin(entry, endpoint), expected);
             }
             Found::None => return Place::NoEndpoint,
-            Found::Full | Found::Limited => {}
+            Found::Full | Found::Limited | Found::Yielding => {}
         }
     }
     let (sender, receiver) = oneshot::channel();
@@ -333,13 +336,17 @@
                 return true;
             }
             Found::None => {
-                if let Some(waiter) = take(entry, service, index, now) {
+                let mut services = entry.plain_queue.services.borrow_mut();
+                let queue = services.get_mut(service);
+                let waiter = queue.map(|queue| queue.waiting.swap_remove(index));
+                drop(services);
+                if let Some(waiter) = waiter {
                     let _ = waiter.sender.send(Place::NoEndpoint);
                 }
                 return true;
             }
             // Others may be allowed to use an endpoint that this call may not.
-            Found::Full => {}
+            Found::Full | Found::Yielding => {}
             Found::Limited => return false,
         }
     }
@@ -387,6 +394,8 @@
     Full,
     /// The entry has as many calls under way as it may.
     Limited,
+    /// Calls at other entries go before this one.
+    Yielding,
     /// There is no endpoint that the call may use.
     None,
 }
@@ -423,10 +432,13 @@
     let services = entry.plain_queue.services.borrow();
     if let Some(queue) = services.get(service) {
         // A late call takes nothing from those that can be in time, here or at other entries.
-        let is_behind = rank.is_late && is_yielding && queue.limit.is_limited(now);
-        if is_behind || !queue.limit.has_room(is_yielding, now) {
+        let yields_all = rank.is_late && is_yielding && queue.limit.is_limited(now);
+        if !queue.limit.has_room(false, now) {
             return Found::Limited;
         }
+        if yields_all || !queue.limit.has_room(is_yielding, now) {
+            return Found::Yielding;
+        }
         let is_paused = |endpoint: &Rc<Endpoint>| {
             let refused_at = queue.refused_at.get(&endpoint.id);
             refused_at.is_some_and(|at| now.since(*at) < REFUSAL_PAUSE)
--- a/crates/camphorwall-direct/src/endpoints/evacuation.rs
+++ b/crates/camphorwall-direct/src/endpoints/evacuation.rs
@@ -131,7 +131,9 @@
             }
         }
         let is_missing = |(name, known): &(&DataCentreName, &Evacuation)| {
-            known.revision <= revision && !listed.iter().any(|(listed, _)| listed == *name)
+            // A list of revision 0 is of a store, or a reader, that knows nothing of its era yet.
+            let may_end = revision > 0 && known.revision <= revision;
+            may_end && !listed.iter().any(|(listed, _)| listed == *name)
         };
         let missing = self.evacuated.iter().filter(is_missing);
         let missing: Vec<_> = missing.map(|(name, _)| name.clone()).collect();
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -109,6 +109,8 @@
     pub(crate) reads_store: Cell<bool>,
     /// Whether a watch of all keys of the store waits for changes.
     pub(crate) is_watching_all: Cell<bool>,
+    /// Whether a call to the entry that this one follows is under way.
+    pub(crate) is_following_reader: Cell<bool>,
     /// Number of times the store had been restored at its last answer; `None` before the first.
     pub(crate) store_era: Cell<Option<u64>>,
     pub(crate) quotas: RefCell<Quotas>,
@@ -212,6 +214,7 @@
             store_era: Cell::new(None),
             quotas: RefCell::new(Quotas::new(Moment::now())),
             retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
+            is_following_reader: Cell::new(false),
             is_watching_all: Cell::new(false),
             lengths: RefCell::default(),
             loads: RefCell::default(),
--- a/crates/camphorwall-direct/src/request_body.rs
+++ b/crates/camphorwall-direct/src/request_body.rs
@@ -5,6 +5,7 @@
 use camphorwall::{BodyEnd, RequestBody, read_body};
 use futures_util::future::{self, Either};
 use http::{HeaderMap, header, request::Parts};
+use hyper::body::Body as _;
 use std::pin::pin;
 
 use crate::{
@@ -110,7 +111,7 @@
 /// it reads the answer, and closing a connection with unread bytes would reset it.
 pub(crate) fn discard(entry: &Entry, mut body: RequestBody, head: &HeaderMap) {
     // Reading the body of such a caller would ask for it.
-    if head.contains_key(header::EXPECT) {
+    if head.contains_key(header::EXPECT) || body.is_end_stream() {
         return;
     }
     let mut memory = entry.memory.share();
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -162,8 +162,9 @@
 pub(crate) enum AttemptOutcome {
     /// The endpoint answered; the body is still to be read.
     Answered(Answer),
-    /// The endpoint refused the request, which has not run and won't.
-    NotRun,
+    /// The endpoint refused the request, which has not run and won't; otherwise than for lack of capacity if another one
+    /// answers at its address.
+    NotRun { is_full: bool },
     /// The request never reached the endpoint.
     NotSent,
     /// The request may have run, and there is no usable answer.
@@ -356,7 +357,9 @@
             endpoint = %endpoint.id,
             is_stranger = is_other_endpoint,
         );
-        return AttemptOutcome::NotRun;
+        return AttemptOutcome::NotRun {
+            is_full: !is_other_endpoint,
+        };
     }
     let is_success = answer.parts.status.is_success();
     let is_encoded = answer.parts.headers.contains_key(header::CONTENT_ENCODING);
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -15,7 +15,7 @@
         loads::{Run, Work},
         placement::{Placement, candidates},
         plain_queue::{self, Place},
-        return_queue::{choose_in_turn, retry_after_refusals, returns_at},
+        return_queue::{choose_in_turn, note_passed_over, retry_after_refusals, returns_at},
     },
     clock::Moment,
     configuration::{Endpoint, Stage},
@@ -104,7 +104,7 @@
                     Err(_) => None,
                 }
             }
-            AttemptOutcome::NotRun => {
+            AttemptOutcome::NotRun { .. } => {
                 progress.readmit_if_held_off(entry, &endpoint);
                 if !progress.note_refused(entry, admitted, MAX_REFUSALS) {
                     let usual = TRANSIENT_RETRY_AFTER;
@@ -177,8 +177,11 @@
     let target = Duration::from_millis(admitted.route.target_ms);
     let queue = &entry.plain_queue;
     match outcome {
+        AttemptOutcome::Answered(answer) if answer.parts.status.is_server_error() => {}
         AttemptOutcome::Answered(_) => queue.note_answered(endpoint, sent_at, target),
-        AttemptOutcome::NotRun | AttemptOutcome::NotSent => queue.note_refused(endpoint, sent_at),
+        AttemptOutcome::NotRun { is_full: true } => queue.note_refused(endpoint, sent_at),
+        // An endpoint that is dead, was replaced or leaves is not full.
+        AttemptOutcome::NotRun { is_full: false } | AttemptOutcome::NotSent => {}
         AttemptOutcome::Failed => queue.note_failed(endpoint, sent_at),
     }
 }
@@ -212,11 +215,18 @@
     let since = Moment::now();
     let place = plain_queue::place(entry, admitted, &progress.excluded).await;
     RequestLog::add_elapsed(&admitted.request_log.placement_wait, since);
+    note_passed_over(entry, admitted, admitted.stage());
     match place {
         Place::Given(placement, expected) => {
             expectation.set(expected);
             Ok(Some(placement))
         }
+        // The endpoints may have begun to hold requests off meanwhile.
+        Place::NoEndpoint if has_hold_offs() => {
+            let endpoint = next_endpoint(entry, admitted, progress, expectation).await?;
+            Ok(endpoint
+                .map(|endpoint| Placement::new(entry, endpoint, Work::Fixed(Run::default()))))
+        }
         Place::NoEndpoint => Ok(None),
         Place::Refused(retry_after) => {
             Err(progress.give_up(RequestEnd::EndpointsFull, retry_after))
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -252,7 +252,7 @@
                     body,
                 });
             }
-            AttemptOutcome::NotRun => {
+            AttemptOutcome::NotRun { .. } => {
                 // A KV cache that two decode endpoints refused counts as lost and as a failure of its prefill endpoint,
                 // which is avoided for a while.
                 if let Some(held) = prefilled.take() {
--- a/crates/camphorwall-direct/src/store/evacuations.rs
+++ b/crates/camphorwall-direct/src/store/evacuations.rs
@@ -45,7 +45,7 @@
             Ok(revision) => {
                 is_list_needed = false;
                 has_failed = false;
-                if known != Some(revision) {
+                if known != Some(revision) || revision == 0 {
                     compio::time::sleep(CHANGES_PAUSE).await;
                 }
             }
@@ -65,9 +65,13 @@
 /// entry that this one follows. While calls to the store fail, the task that watches it finds out when they work again.
 pub(super) fn is_covered(entry: &Entry, known: u64) -> bool {
     let is_failing = entry.registry.borrow().contact.is_failing();
-    if is_failing || choose_source(entry, source) != Source::Store {
+    if is_failing {
         return true;
     }
+    if choose_source(entry, source) != Source::Store {
+        // While the entry lists the endpoints anew, it asks its reader for nothing.
+        return entry.is_following_reader.get();
+    }
     let newest_to = entry.tracker.borrow().newest_to();
     entry.is_watching_all.get() && newest_to.is_some_and(|newest_to| newest_to.number <= known)
 }
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -110,7 +110,10 @@
             (None, _) => list_endpoints(&entry).await,
             (Some(revision), Source::Store) => watch(&entry, revision).await,
             (Some(revision), Source::Neighbour(reader)) => {
-                follow_reader(&entry, reader, revision).await
+                entry.is_following_reader.set(true);
+                let update = follow_reader(&entry, reader, revision).await;
+                entry.is_following_reader.set(false);
+                update
             }
         };
         match (update, source) {
@@ -328,6 +331,9 @@
             apply_endpoint(entry, item);
         } else if item.key.starts_with(store.configuration_prefix) {
             apply_configuration(entry, item).await;
+            if entry.store_era.get() != Some(after.era) {
+                return Err(StoreError::Restored);
+            }
         }
     }
     let elapsed = Moment::now().since(sent_at);
