Check a configuration document before it is published

Cause: what is wrong with a configuration document showed only in the logs of the entries that had put it in force. Routes and keys that a later entry of the document replaces didn't show at all.

Change: `camphorwall config check FILE [--in-force FILE]` reports what can't be read, with its line; entries that can never match; limits that contradict each other; and differences from the version in force. Exit code 2 means that the document must not be published. The findings are plain functions over the parsed configuration (`configuration_check.rs`).

Not included: regions of routes and teams, which the parsed configuration doesn't have yet.

--- a/crates/camphorwall-cli/src/commands/command.rs
+++ b/crates/camphorwall-cli/src/commands/command.rs
@@ -6,8 +6,8 @@
 use getopts::Matches;
 
 use super::{
-    config_status, drain, explain, histograms, losses, published_check, quarantine_lift,
-    quarantine_list, settings_check, status, teams,
+    config_check, config_status, drain, explain, histograms, losses, published_check,
+    quarantine_lift, quarantine_list, settings_check, status, teams,
 };
 
 /// Exit code for an invalid command line or invalid input files.
@@ -52,7 +52,8 @@
 }
 
 /// All commands, sorted by name.
-pub(crate) const COMMANDS: [Command; 11] = [
+pub(crate) const COMMANDS: [Command; 12] = [
+    config_check::COMMAND,
     config_status::COMMAND,
     drain::COMMAND,
     explain::COMMAND,
@@ -75,6 +76,12 @@
         "IP:PORT",
     );
     options.optflag("h", "help", "show this help");
+    options.optopt(
+        "",
+        "in-force",
+        "configuration document in force, to compare a new one with",
+        "FILE",
+    );
     options.optopt(
         "s",
         "secret-file",
--- a/crates/camphorwall-cli/src/commands/mod.rs
+++ b/crates/camphorwall-cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one in each file, and what they share.
 
 mod command;
+mod config_check;
 mod config_status;
 mod drain;
 mod explain;
--- a/crates/camphorwall-direct/src/lib.rs
+++ b/crates/camphorwall-direct/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod configuration;
 mod configuration_change;
+mod configuration_check;
 mod connection_headers;
 mod contract;
 mod dialect;
@@ -27,6 +28,8 @@
 #[cfg(test)]
 mod configuration_change_tests;
 #[cfg(test)]
+mod configuration_check_tests;
+#[cfg(test)]
 mod configuration_tests;
 #[cfg(test)]
 mod documentation_tests;
@@ -47,6 +50,11 @@
     CallerLimits, ColdLimits, Configuration, Endpoint, EngineLimits, Route, RouteKind, Service,
     Stage, Team, UnreadableParts,
 };
+pub use configuration_check::{
+    Changes as ConfigurationChanges, ConfigurationDifferences, ConfigurationDocument,
+    ConfigurationFinding, KeyChanges, RouteLabel, Severity, check_configuration,
+    compare_configurations,
+};
 pub use connection_headers::remove_connection_headers;
 pub use dialect::{
     AnswerFacts, Changes, ConfigurationDraft, Dialect, DraftConfiguration, ForwardingFacts,
