--- a/crates/camphorwall-direct/src/endpoints/cold_times.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_times.rs
@@ -214,7 +214,7 @@
         }
     }
 
-    /// Uncounts a request for which the endpoint was chosen, since it is sent or given up now.
+    /// Uncounts a request for which the endpoint was chosen, since it is sent now.
     pub(crate) fn end_choice(&mut self, incarnation: EndpointIncarnation) {
         if let Some(state) = self.0.get_mut(&incarnation) {
             state.chosen.pop_front();
--- a/crates/camphorwall-direct/src/memory_pool.rs
+++ b/crates/camphorwall-direct/src/memory_pool.rs
@@ -277,7 +277,7 @@
         let block_bytes = body_bytes.clamp(FIRST_BLOCK_BYTES, MAX_BLOCK_BYTES);
         let limit = self.pool.limit_for(body_bytes + block_bytes);
         while self.pool.held_bytes.get() + block_bytes > limit {
-            // A body that holds nothing yet is the newest small one: it yields to no other, but to no purpose either.
+            // A body that holds nothing yet has nothing to yield, and waits for no other.
             let Some(next) = self.pool.next_to_yield(now) else {
                 return false;
             };
--- a/crates/camphorwall-direct/src/request_body.rs
+++ b/crates/camphorwall-direct/src/request_body.rs
@@ -1,12 +1,11 @@
 //! Receives the body of a caller's request within the entry's memory.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use camphorwall::{BodyEnd, RequestBody, read_body};
 use futures_util::future::{self, Either};
 use http::{HeaderMap, header, request::Parts};
 use hyper::body::Body as _;
-use std::pin::pin;
 
 use crate::{
     blocks::Blocks,
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -25,6 +25,7 @@
 
 /// Maximum Retry-After of such a request, so that callers notice the end of a long evacuation.
 const MAX_CLOSED_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// Maximum number of characters of an unreadable load that are logged.
 const MAX_LOGGED_CHARS: usize = 64;
 
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -36,6 +36,7 @@
 
 /// Highest status that HTTP defines. The HTTP library rejects statuses below 100 and accepts any other of three digits.
 const MAX_STATUS: u16 = 599;
+
 /// Size of each of the kernel's two buffers of a connection. They hold what an endpoint sends while the caller does not
 /// read; with the system's sizes that is up to 6 MiB for each answer.
 const SOCKET_BUFFER_BYTES: usize = 32 * 1024;
--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -155,7 +155,7 @@
     pub max_head_bytes: usize,
     /// Maximum number of header fields.
     pub max_headers: usize,
-    /// Maximum idle time, and time from the first connection to the end of a head.
+    /// Maximum idle time, and maximum time from the opening of a connection to the end of its first head.
     pub head_timeout: Duration,
     /// Maximum time from the first byte of a head to its end.
     pub head_arrival_timeout: Duration,
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -118,7 +118,7 @@
                 "endpoints of the service have just started and can sustain only few requests a second, of which this entry has no more at present, and no other endpoint had free capacity; endpoint_cold names them"
             }
             Self::EndpointsFull => {
-                "each endpoint that was tried answered that it is full; the request has not run"
+                "each endpoint that was tried answered that it is full, or none would have had room in time for a call that waited at the entry; the request has not run"
             }
             Self::EndpointsHoldOff => {
                 "all endpoints of the service asked for no requests for a time; endpoint_holds_off names them, and Retry-After is when the first is back"
