--- a/crates/camphorwall-direct/src/configuration_check_tests.rs
+++ b/crates/camphorwall-direct/src/configuration_check_tests.rs
@@ -114,7 +114,7 @@
     }
 }
 
-/// Guards against a shadowed route that is missed, and against one that is told of a longer prefix or another host.
+/// Guards against a shadowed route that is missed, and against one that is reported of a longer prefix or another host.
 #[test]
 fn a_route_is_shadowed_only_by_one_with_its_host_and_prefix() {
     let named = |name: &str, host: &str, prefix: &str| Route {
@@ -287,7 +287,7 @@
     assert_eq!(differences.lines(), [""; 0]);
 }
 
-/// Guards against differences that are missed or told for the wrong side.
+/// Guards against differences that are missed or reported for the wrong side.
 #[test]
 fn differences_are_told_by_kind() {
     let routes = vec![
--- a/crates/camphorwall-direct/src/contract/homes_tests.rs
+++ b/crates/camphorwall-direct/src/contract/homes_tests.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// Guards against a request that waits, or is told a wrong cause, when no endpoint may take it.
+/// Guards against a request that waits, or gets a wrong cause, when no endpoint may take it.
 #[test]
 fn a_service_is_closed_to_a_request_without_an_endpoint_at_home() {
     let mut registry = Registry::default();
--- a/crates/camphorwall-direct/src/endpoints/cold.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold.rs
@@ -75,7 +75,7 @@
     stamp_ms: u64,
 }
 
-/// What an entry tells its peers of the split. Its size is bounded.
+/// What an entry reports to its peers of the split. Its size is bounded.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(crate) struct ReportedSplit {
     pub(crate) member: MemberId,
@@ -388,7 +388,7 @@
         let is_known_by_all = self
             .confirmed()
             .all(|(_, member)| member.heard.as_ref().is_some_and(agrees));
-        // A seed that nobody has heard may hold permits, unless a holder doesn't know it.
+        // A seed that no entry has heard may hold permits, unless a holder doesn't know it.
         let has_unheard_seed = self.members.values().any(|member| !member.is_confirmed);
         is_known_by_all && (!holders.is_empty() || !has_unheard_seed)
     }
@@ -407,7 +407,7 @@
         now: Moment,
     ) -> u32 {
         if now.since(self.refreshed_at) >= REFRESH_PERIOD {
-            // A process that was stopped for a time doesn't know yet that it hears nobody.
+            // A process that was suspended doesn't know yet that it hears no peer.
             self.refresh(now);
         }
         let may_use_own = self.may_use_own(now);
@@ -480,7 +480,7 @@
         })
     }
 
-    /// What the next heartbeat tells the peers.
+    /// What the next heartbeat reports to the peers.
     pub(crate) fn report(&mut self, now: Moment) -> ReportedSplit {
         self.refresh(now);
         let lease = self.borrower(now);
--- a/crates/camphorwall-direct/src/endpoints/cold_history_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_history_tests.rs
@@ -354,7 +354,7 @@
     seeds.any(|seed| History::new(variant, seed, ENTRIES).play().most > TOTAL as usize)
 }
 
-/// Shows that the checker catches a split that counts the entries heard lately.
+/// Shows that the checker catches a split that counts the entries heard recently.
 #[test]
 fn a_split_by_the_entries_heard_lately_is_caught() {
     assert!(is_caught(Variant::EqualParts));
@@ -404,7 +404,7 @@
     }
 }
 
-/// Guards against an entry that takes the whole allowance because it hears nobody.
+/// Guards against an entry that takes the whole allowance because it hears no peer.
 #[test]
 fn an_entry_that_hears_none_of_its_seeds_sends_nothing() {
     let mut history = History::new(Variant::Permits, 1, ENTRIES);
@@ -471,7 +471,7 @@
     assert!(total > 0);
 }
 
-/// Guards against permits that nobody uses after an entry has left in order.
+/// Guards against permits that stay unused after an entry has stopped in order.
 #[test]
 fn the_permits_of_an_entry_that_said_goodbye_go_to_the_others() {
     let mut history = History::new(Variant::Permits, 1, ENTRIES);
--- a/crates/camphorwall-direct/src/endpoints/cold_limit.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_limit.rs
@@ -22,7 +22,7 @@
     serve::{outcome::Progress, refusal::Refusal},
 };
 
-/// How often the log is told which endpoints have become cold or warm.
+/// How often endpoints that have become cold or warm are logged.
 const LOG_PERIOD: Duration = Duration::from_millis(250);
 
 /// What an entry knows of cold endpoints.
@@ -206,7 +206,7 @@
         }
     }
 
-    /// What a heartbeat tells the peers; nothing if no service has a limit.
+    /// What a heartbeat reports to the peers; nothing if no service has a limit.
     pub(crate) fn report_cold(
         &self,
         now: Moment,
--- a/crates/camphorwall-direct/src/endpoints/cold_times.rs
+++ b/crates/camphorwall-direct/src/endpoints/cold_times.rs
@@ -1,4 +1,4 @@
-//! How long endpoints stay cold, and the requests that they were sent lately.
+//! How long endpoints stay cold, and the requests that were sent to them recently.
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -72,7 +72,7 @@
     }
 }
 
-/// A change that the log tells.
+/// A change that is logged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Change {
     Cold { left: Duration },
@@ -253,7 +253,7 @@
         }
     }
 
-    /// Records whether an endpoint is cold now; returns what the log has not been told yet.
+    /// Records whether an endpoint is cold now; returns what has not been logged yet.
     pub(crate) fn note_state(
         &mut self,
         incarnation: EndpointIncarnation,
--- a/crates/camphorwall-direct/src/endpoints/evacuation.rs
+++ b/crates/camphorwall-direct/src/endpoints/evacuation.rs
@@ -163,7 +163,7 @@
         self.changed_at = 0;
     }
 
-    /// What followers are told; `None` before the first list.
+    /// What is reported to followers; `None` before the first list.
     pub(crate) fn report(&self) -> Option<ReportedEvacuations> {
         let evacuated = self.evacuated.iter();
         Some(ReportedEvacuations {
--- a/crates/camphorwall-direct/src/endpoints/evacuation_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/evacuation_tests.rs
@@ -103,7 +103,7 @@
     assert!(evacuated(&evacuations).is_empty());
 }
 
-/// Guards against followers that are told at once again and again of a change that their reader can't yet confirm.
+/// Guards against a reader that answers its followers at once, again and again, with a change that it can't confirm yet.
 #[test]
 fn a_follower_is_told_of_a_change_until_it_knows_it() {
     let mut evacuations = listed(&[], 5);
--- a/crates/camphorwall-direct/src/memory_pool.rs
+++ b/crates/camphorwall-direct/src/memory_pool.rs
@@ -189,7 +189,7 @@
         next.map(|(number, _)| *number)
     }
 
-    /// Frees what an arriving body holds, and tells its reader.
+    /// Frees what an arriving body holds, and notifies the task that reads it.
     fn take_back(&self, number: u64) {
         let body = self.arriving.borrow_mut().remove(&number);
         if let Some(body) = body {
--- a/crates/camphorwall-direct/src/store/era.rs
+++ b/crates/camphorwall-direct/src/store/era.rs
@@ -1,6 +1,6 @@
 //! Begins a new era when the store has been restored from a copy.
 //!
-//! The store's answers, and those of the entries that read it, tell its era. What the store acknowledged after the copy may
+//! The store's answers, and those of the entries that read it, carry its era. What the store acknowledged after the copy may
 //! be lost, and its revisions are issued again, so nothing that rests on a revision of an earlier era proves anything.
 
 use super::call::StoreError;
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -249,7 +249,7 @@
     assert!(registry.contact.is_in_doubt(revision(2, 4), now));
 }
 
-/// Guards against a registration of an earlier era that only the follower has seen and that nobody will remove.
+/// Guards against a registration of an earlier era that only the follower has seen and that is never removed.
 #[compio::test]
 async fn a_reader_sends_all_registrations_to_a_follower_of_an_earlier_era() {
     let (reader, address, _stop) = reader_in_era(2).await;
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -111,7 +111,7 @@
     tracker.note_version(3, 5.into());
     tracker.begin_era(1, at_ms(1_000));
     assert!(tracker.needs_read() && !tracker.may_prove());
-    // An answer that was on its way tells of a revision that the store has not issued again yet.
+    // An answer that was on its way has a revision that the store has not issued again yet.
     tracker.confirm(900);
     assert!(tracker.needs_read());
     tracker.note_read(in_era(1, 5));
