--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -353,3 +353,152 @@
         Err(error) => model.record.line(format!("{id} ends: {error}")),
     }
 }
+
+// ---------------------------------------------------------------------------------------------------------------------
+
+/// Time that a replica runs the harmful order before it crashes.
+const RUNS_FOR_MS: u64 = 800;
+
+/// Time between two copies of the harmful order, each at the next machine.
+const COPY_EVERY_MS: u64 = 100;
+
+/// Time for which they come.
+const COPIES_FOR: Duration = Duration::from_secs(66);
+
+/// What the plain replicas share.
+struct Desk {
+    store: Store,
+    record: Record,
+    next: AtomicU64,
+    has_trouble: bool,
+    crashes: Mutex<Vec<Instant>>,
+    /// When each copy of the harmful order was sent by its client, by its number.
+    sent: Mutex<Vec<Instant>>,
+    /// Copies that reached a replica, by their numbers.
+    arrivals: Mutex<Vec<usize>>,
+    sound_ends: AtomicUsize,
+}
+
+fn start_desk(desk: &Arc<Desk>) -> std::io::Result<()> {
+    let number = desk.next.fetch_add(1, Ordering::SeqCst);
+    let shared = Arc::clone(desk);
+    let handler: Handler = Arc::new(move |replica, request, stream| {
+        let id = request.field("request-id").unwrap_or("none").to_owned();
+        shared.record.line(format!("{} runs {id}", replica.id));
+        let copy = id.strip_prefix("harmful-").and_then(|text| text.parse().ok());
+        if let Some(copy) = copy {
+            shared.arrivals.lock().expect("arrivals").push(copy);
+            sleep_ms(RUNS_FOR_MS);
+            if shared.has_trouble {
+                if replica.lives() {
+                    crash_desk(&shared, replica, &id);
+                }
+                return Ok(false);
+            }
+        }
+        let fields = [("Request-Id", id.as_str()), ("Server-Signature", "s3.1"), ("Server-Load", "1,0,6")];
+        write_message(stream, "HTTP/1.1 200 OK", &fields, b"done")?;
+        Ok(true)
+    });
+    Replica::start(&desk.store, &format!("desk-{number}"), "desk", None, handler)?;
+    Ok(())
+}
+
+fn crash_desk(desk: &Arc<Desk>, replica: &Replica, id: &str) {
+    replica.crash();
+    let mut crashes = desk.crashes.lock().expect("crashes");
+    crashes.push(Instant::now());
+    desk.record.line(format!("{} crashes on {id}: crash {}", replica.id, crashes.len()));
+    drop(crashes);
+    let (later, key) = (Arc::clone(desk), replica.key());
+    std::thread::spawn(move || {
+        sleep_ms(BACK_AFTER_MS);
+        let _ = start_desk(&later);
+        sleep_ms(ENTRY_LAPSES_MS - BACK_AFTER_MS);
+        later.store.remove(&key);
+    });
+}
+
+/// One order that crashes the replicas that run it comes again and again, at each machine.
+pub fn block_ends(record: &Record, has_trouble: bool) -> Outcome {
+    let folder = Folder::new().map_err(text)?;
+    let store = Store::start().map_err(text)?;
+    store.put("op/config", &configuration(1));
+    let desk = Arc::new(Desk {
+        store: store.clone(),
+        record: record.clone(),
+        next: AtomicU64::new(0),
+        has_trouble,
+        crashes: Mutex::default(),
+        sent: Mutex::default(),
+        arrivals: Mutex::default(),
+        sound_ends: AtomicUsize::new(0),
+    });
+    for _ in 0..8 {
+        start_desk(&desk).map_err(text)?;
+    }
+    let entries = entry::start(&folder.0, store.address, 4)?;
+    let callers: Vec<_> = entries.iter().map(|entry| entry.caller).collect();
+    let began_at = Instant::now();
+    let mut clients = Vec::new();
+    let mut number = 0;
+    while began_at.elapsed() < COPIES_FOR {
+        let address = callers[number % callers.len()];
+        let shared = Arc::clone(&desk);
+        desk.sent.lock().expect("sent").push(Instant::now());
+        clients.push(std::thread::spawn(move || order(&shared, number, true, address)));
+        if number % 5 == 0 {
+            let shared = Arc::clone(&desk);
+            clients.push(std::thread::spawn(move || order(&shared, number, false, address)));
+        }
+        number += 1;
+        sleep_ms(COPY_EVERY_MS);
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let crashes = desk.crashes.lock().expect("crashes").clone();
+    let arrivals = desk.arrivals.lock().expect("arrivals").clone();
+    let sent = desk.sent.lock().expect("sent").clone();
+    let sound = desk.sound_ends.load(Ordering::SeqCst);
+    record.line(format!(
+        "{} of {number} copies reached replicas, {} crashes, {sound} sound orders were done",
+        arrivals.len(),
+        crashes.len()
+    ));
+    if sound == 0 {
+        return Err("no sound order was done".to_owned());
+    }
+    let Some(third) = crashes.get(2) else {
+        return Ok(Vec::new());
+    };
+    let late = arrivals.iter().filter(|copy| sent[**copy] > *third + CONTACT).count();
+    record.line(format!("{late} of them were sent later than 3 s after the third crash"));
+    if late > ALLOWED {
+        return Ok(vec![format!(
+            "BUDGET: a request that had crashed three replicas reached replicas in {late} retries sent later than 3 s after that; {} \
+             crashes in all",
+            crashes.len()
+        )]);
+    }
+    Ok(Vec::new())
+}
+
+fn order(desk: &Desk, number: usize, is_harmful: bool, address: std::net::SocketAddr) {
+    let id = format!("{}-{number}", if is_harmful { "harmful" } else { "sound" });
+    let fields = [HOST, KEY, ("Request-Id", id.as_str()), ("Deadline-Ms", "4000")];
+    let body = if is_harmful { "the same order".to_owned() } else { format!("order {number}") };
+    desk.record.line(format!("client sends {id}"));
+    let answered = Client::connect(address)
+        .and_then(|mut client| client.call("POST /orders/new HTTP/1.1", &fields, body.as_bytes()));
+    match answered {
+        Ok(answer) => {
+            let reason = String::from_utf8_lossy(&answer.body).into_owned();
+            desk.record.line(format!("{id} is answered {} {reason}", answer.status()));
+            if answer.status() == 200 && !is_harmful {
+                desk.sound_ends.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+        Err(error) => desk.record.line(format!("{id} ends: {error}")),
+    }
+}
