--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -57,14 +57,33 @@
     let handler: Handler = Arc::new(move |replica, request, stream| {
         let id = request.field("request-id").unwrap_or("none").to_owned();
         log.line(format!("{} runs {id} ({})", replica.id, request.target()));
-        let size = if request.target().contains("large") { LARGE_ANSWER } else { 800 };
-        let fields = [("Request-Id", id.as_str()), ("Server-Signature", "s1.1"), ("Server-Load", "1,0,12")];
+        let size = if request.target().contains("large") {
+            LARGE_ANSWER
+        } else {
+            800
+        };
+        let fields = [
+            ("Request-Id", id.as_str()),
+            ("Server-Signature", "s1.1"),
+            ("Server-Load", "1,0,12"),
+        ];
         write_message(stream, "HTTP/1.1 200 OK", &fields, &vec![b'a'; size])?;
-        log.line(format!("{} has answered {id} with {size} bytes", replica.id));
+        log.line(format!(
+            "{} has answered {id} with {size} bytes",
+            replica.id
+        ));
         Ok(true)
     });
     let _replicas: Vec<_> = (0..3)
-        .map(|number| Replica::start(&store, &format!("d-{number}"), "desk", None, Arc::clone(&handler)))
+        .map(|number| {
+            Replica::start(
+                &store,
+                &format!("d-{number}"),
+                "desk",
+                None,
+                Arc::clone(&handler),
+            )
+        })
         .collect::<Result<_, _>>()
         .map_err(text)?;
     let mut entries = entry::start(&folder.0, store.address, 4)?;
@@ -102,7 +121,12 @@
     let mut client = Client::connect(address).map_err(text)?;
     sleep_ms(2_000 + 100 * number);
     let id = format!("large-{number}");
-    let fields = [HOST, KEY, ("Request-Id", id.as_str()), ("Deadline-Ms", "14000")];
+    let fields = [
+        HOST,
+        KEY,
+        ("Request-Id", id.as_str()),
+        ("Deadline-Ms", "14000"),
+    ];
     record.line(format!("client {number} sends {id}"));
     client
         .send("POST /orders/large HTTP/1.1", &fields, b"an order")
@@ -112,15 +136,23 @@
         Ok(head) => head,
         Err(error) => {
             record.line(format!("client {number}: no answer to {id}: {error}"));
-            breaks.lock().expect("breaks").push(format!("{id}: no answer: {error}"));
+            breaks
+                .lock()
+                .expect("breaks")
+                .push(format!("{id}: no answer: {error}"));
             return Ok(());
         }
     };
-    record.line(format!("client {number}: {id} is answered {}", head.status()));
+    record.line(format!(
+        "client {number}: {id} is answered {}",
+        head.status()
+    ));
     if head.status() != 200 {
         return Ok(());
     }
-    let length = head.field("content-length").and_then(|text| text.parse().ok());
+    let length = head
+        .field("content-length")
+        .and_then(|text| text.parse().ok());
     let length: usize = length.ok_or("an answer without a length")?;
     let mut got = 0;
     let mut bytes = vec![0; READ_PER_TURN];
@@ -136,7 +168,9 @@
         sleep_ms(20);
     }
     let after = stopped_at.elapsed();
-    record.line(format!("client {number}: {id} ends with {got} of {length} bytes"));
+    record.line(format!(
+        "client {number}: {id} ends with {got} of {length} bytes"
+    ));
     if got < length {
         breaks.lock().expect("breaks").push(format!(
             "LOST: {id}, sent {:.1} s after the stop command and run to its end, has {got} of {length} bytes when its connection \
@@ -181,7 +215,8 @@
 fn start_decode(model: &Arc<Model>) -> std::io::Result<()> {
     let number = model.next.fetch_add(1, Ordering::SeqCst);
     let shared = Arc::clone(model);
-    let handler: Handler = Arc::new(move |replica, request, stream| decode(&shared, replica, request, stream));
+    let handler: Handler =
+        Arc::new(move |replica, request, stream| decode(&shared, replica, request, stream));
     let id = format!("decode-{number}");
     let replica = Replica::start(&model.store, &id, "drafters", Some("decode"), handler)?;
     model.replicas.lock().expect("replicas").push(replica);
@@ -199,10 +234,16 @@
         write_message(stream, "HTTP/1.1 200 OK", &[], b"")?;
         return Ok(true);
     }
-    let is_harmful = request.field("prompt-prefix").is_some_and(|parts| parts.contains(HARMFUL));
+    let is_harmful = request
+        .field("prompt-prefix")
+        .is_some_and(|parts| parts.contains(HARMFUL));
     model.record.line(format!("{} runs {id}", replica.id));
     if is_harmful {
-        model.arrivals.lock().expect("arrivals").push(Instant::now());
+        model
+            .arrivals
+            .lock()
+            .expect("arrivals")
+            .push(Instant::now());
     }
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: s2.1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: \
@@ -232,7 +273,9 @@
         crashes.push(Instant::now());
         crashes.len()
     };
-    model.record.line(format!("{} crashes on {id}: crash {crashes}", replica.id));
+    model
+        .record
+        .line(format!("{} crashes on {id}: crash {crashes}", replica.id));
     replica.crash();
     let (later, key) = (Arc::clone(model), replica.key());
     std::thread::spawn(move || {
@@ -248,7 +291,10 @@
     let folder = Folder::new().map_err(text)?;
     let store = Store::start().map_err(text)?;
     store.put("op/config", &configuration(1));
-    let events = std::env::var("EVENTS").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let events = std::env::var("EVENTS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1);
     let model = Arc::new(Model {
         store: store.clone(),
         record: record.clone(),
@@ -266,14 +312,23 @@
         sleep_ms(30);
         let handle = handles.fetch_add(1, Ordering::SeqCst);
         let body = format!(r#"{{"kv_handle":"3fa0{handle:08x}","tokens":5200,"version":1}}"#);
-        let fields = [("Request-Id", id.as_str()), ("Content-Type", "application/json")];
+        let fields = [
+            ("Request-Id", id.as_str()),
+            ("Content-Type", "application/json"),
+        ];
         write_message(stream, "HTTP/1.1 200 OK", &fields, body.as_bytes())?;
         Ok(true)
     });
     let _prefills: Vec<_> = (0..3)
         .map(|number| {
             let id = format!("prefill-{number}");
-            Replica::start(&store, &id, "drafters", Some("prefill"), Arc::clone(&prefill))
+            Replica::start(
+                &store,
+                &id,
+                "drafters",
+                Some("prefill"),
+                Arc::clone(&prefill),
+            )
         })
         .collect::<Result<_, _>>()
         .map_err(text)?;
@@ -286,7 +341,9 @@
     for number in 0..150_usize {
         let is_harmful = number % 3 == 2;
         let (model, address) = (Arc::clone(&model), callers[number % callers.len()]);
-        clients.push(std::thread::spawn(move || draft(&model, number, is_harmful, address)));
+        clients.push(std::thread::spawn(move || {
+            draft(&model, number, is_harmful, address)
+        }));
         sleep_ms(200);
     }
     for client in clients {
@@ -307,7 +364,9 @@
         return Ok(Vec::new());
     };
     let late = arrivals.iter().filter(|at| **at > *fifth + CONTACT).count();
-    record.line(format!("{late} of them later than 3 s after the fifth crash"));
+    record.line(format!(
+        "{late} of them later than 3 s after the fifth crash"
+    ));
     if late > ALLOWED {
         return Ok(vec![format!(
             "BUDGET: {late} requests with the part reached replicas later than 3 s after the fifth crash, {} replicas crashed in all",
@@ -320,7 +379,11 @@
 /// One caller's draft; no two are alike.
 fn draft(model: &Model, number: usize, is_harmful: bool, address: std::net::SocketAddr) {
     let id = format!("{}-{number}", if is_harmful { "harmful" } else { "sound" });
-    let second = if is_harmful { HARMFUL.to_owned() } else { format!("c0{:06x}", number % 7) };
+    let second = if is_harmful {
+        HARMFUL.to_owned()
+    } else {
+        format!("c0{:06x}", number % 7)
+    };
     let parts = format!("5c1e07a2:200,{second}:800,e4{number:06x}:4000");
     let fields = [
         HOST,
@@ -345,7 +408,9 @@
     })();
     match answered {
         Ok((status, events)) => {
-            model.record.line(format!("{id} is answered {status} with {events} parts"));
+            model
+                .record
+                .line(format!("{id} is answered {status} with {events} parts"));
             if status == 200 && !is_harmful {
                 model.sound_ends.fetch_add(1, Ordering::SeqCst);
             }
@@ -385,7 +450,9 @@
     let handler: Handler = Arc::new(move |replica, request, stream| {
         let id = request.field("request-id").unwrap_or("none").to_owned();
         shared.record.line(format!("{} runs {id}", replica.id));
-        let copy = id.strip_prefix("harmful-").and_then(|text| text.parse().ok());
+        let copy = id
+            .strip_prefix("harmful-")
+            .and_then(|text| text.parse().ok());
         if let Some(copy) = copy {
             shared.arrivals.lock().expect("arrivals").push(copy);
             sleep_ms(RUNS_FOR_MS);
@@ -396,11 +463,21 @@
                 return Ok(false);
             }
         }
-        let fields = [("Request-Id", id.as_str()), ("Server-Signature", "s3.1"), ("Server-Load", "1,0,6")];
+        let fields = [
+            ("Request-Id", id.as_str()),
+            ("Server-Signature", "s3.1"),
+            ("Server-Load", "1,0,6"),
+        ];
         write_message(stream, "HTTP/1.1 200 OK", &fields, b"done")?;
         Ok(true)
     });
-    Replica::start(&desk.store, &format!("desk-{number}"), "desk", None, handler)?;
+    Replica::start(
+        &desk.store,
+        &format!("desk-{number}"),
+        "desk",
+        None,
+        handler,
+    )?;
     Ok(())
 }
 
@@ -408,7 +485,11 @@
     replica.crash();
     let mut crashes = desk.crashes.lock().expect("crashes");
     crashes.push(Instant::now());
-    desk.record.line(format!("{} crashes on {id}: crash {}", replica.id, crashes.len()));
+    desk.record.line(format!(
+        "{} crashes on {id}: crash {}",
+        replica.id,
+        crashes.len()
+    ));
     drop(crashes);
     let (later, key) = (Arc::clone(desk), replica.key());
     std::thread::spawn(move || {
@@ -446,10 +527,14 @@
         let address = callers[number % callers.len()];
         let shared = Arc::clone(&desk);
         desk.sent.lock().expect("sent").push(Instant::now());
-        clients.push(std::thread::spawn(move || order(&shared, number, true, address)));
+        clients.push(std::thread::spawn(move || {
+            order(&shared, number, true, address)
+        }));
         if number % 5 == 0 {
             let shared = Arc::clone(&desk);
-            clients.push(std::thread::spawn(move || order(&shared, number, false, address)));
+            clients.push(std::thread::spawn(move || {
+                order(&shared, number, false, address)
+            }));
         }
         number += 1;
         sleep_ms(COPY_EVERY_MS);
@@ -472,8 +557,13 @@
     let Some(third) = crashes.get(2) else {
         return Ok(Vec::new());
     };
-    let late = arrivals.iter().filter(|copy| sent[**copy] > *third + CONTACT).count();
-    record.line(format!("{late} of them were sent later than 3 s after the third crash"));
+    let late = arrivals
+        .iter()
+        .filter(|copy| sent[**copy] > *third + CONTACT)
+        .count();
+    record.line(format!(
+        "{late} of them were sent later than 3 s after the third crash"
+    ));
     if late > ALLOWED {
         return Ok(vec![format!(
             "BUDGET: a request that had crashed three replicas reached replicas in {late} retries sent later than 3 s after that; {} \
@@ -486,15 +576,25 @@
 
 fn order(desk: &Desk, number: usize, is_harmful: bool, address: std::net::SocketAddr) {
     let id = format!("{}-{number}", if is_harmful { "harmful" } else { "sound" });
-    let fields = [HOST, KEY, ("Request-Id", id.as_str()), ("Deadline-Ms", "4000")];
-    let body = if is_harmful { "the same order".to_owned() } else { format!("order {number}") };
+    let fields = [
+        HOST,
+        KEY,
+        ("Request-Id", id.as_str()),
+        ("Deadline-Ms", "4000"),
+    ];
+    let body = if is_harmful {
+        "the same order".to_owned()
+    } else {
+        format!("order {number}")
+    };
     desk.record.line(format!("client sends {id}"));
     let answered = Client::connect(address)
         .and_then(|mut client| client.call("POST /orders/new HTTP/1.1", &fields, body.as_bytes()));
     match answered {
         Ok(answer) => {
             let reason = String::from_utf8_lossy(&answer.body).into_owned();
-            desk.record.line(format!("{id} is answered {} {reason}", answer.status()));
+            desk.record
+                .line(format!("{id} is answered {} {reason}", answer.status()));
             if answer.status() == 200 && !is_harmful {
                 desk.sound_ends.fetch_add(1, Ordering::SeqCst);
             }
@@ -528,41 +628,61 @@
     let handler: Handler = Arc::new(move |replica, request, stream| {
         let id = request.field("request-id").unwrap_or("none").to_owned();
         log.line(format!("{} runs {id}", replica.id));
-        let fields = [("Request-Id", id.as_str()), ("Server-Signature", "s4.1"), ("Server-Load", "1,0,6")];
+        let fields = [
+            ("Request-Id", id.as_str()),
+            ("Server-Signature", "s4.1"),
+            ("Server-Load", "1,0,6"),
+        ];
         write_message(stream, "HTTP/1.1 200 OK", &fields, b"done")?;
         Ok(true)
     });
     let _replicas: Vec<_> = (0..3)
-        .map(|number| Replica::start(&store, &format!("desk-{number}"), "desk", None, Arc::clone(&handler)))
+        .map(|number| {
+            Replica::start(
+                &store,
+                &format!("desk-{number}"),
+                "desk",
+                None,
+                Arc::clone(&handler),
+            )
+        })
         .collect::<Result<_, _>>()
         .map_err(text)?;
     let mut entries = entry::start(&folder.0, store.address, 4)?;
     let callers: Vec<_> = entries.iter().map(|entry| entry.caller).collect();
     let began_at = Instant::now();
     let at = |seconds: f64| began_at + Duration::from_secs_f64(seconds);
-    let (trouble, published, forgotten, calm, end) = (at(12.0), at(13.0), at(13.36), at(16.5), at(42.0));
+    let (trouble, published, forgotten, calm, end) =
+        (at(12.0), at(13.0), at(13.36), at(16.5), at(42.0));
     let seen = Arc::new(Mutex::new(Vec::new()));
     let clients: Vec<_> = callers
         .iter()
         .enumerate()
         .map(|(number, address)| {
             let (record, seen, address) = (record.clone(), Arc::clone(&seen), *address);
-            std::thread::spawn(move || machine_clients(number, address, published, end, &record, &seen))
+            std::thread::spawn(move || {
+                machine_clients(number, address, published, end, &record, &seen)
+            })
         })
         .collect();
-    let wait_until = |moment: Instant| std::thread::sleep(moment.saturating_duration_since(Instant::now()));
+    let wait_until =
+        |moment: Instant| std::thread::sleep(moment.saturating_duration_since(Instant::now()));
     wait_until(trouble);
     if has_trouble {
-        record.line(format!("the store's answers take {SLOW_FACTOR} times as long"));
+        record.line(format!(
+            "the store's answers take {SLOW_FACTOR} times as long"
+        ));
         store.set_answer_ms(crate::store::ANSWER_MS * SLOW_FACTOR);
     }
     wait_until(published);
     store.put("op/config", &grown_configuration());
-    record.line(format!("the configuration grows by {ADDED_ROUTES} routes; nothing is written after this"));
+    record.line(format!(
+        "the configuration grows by {ADDED_ROUTES} routes; nothing is written after this"
+    ));
     wait_until(forgotten);
     if has_trouble {
         record.line("the store forgets its history");
-        store.forget();
+        store.forget(std::env::var("CUT").map_or(true, |value| value != "0"));
     }
     wait_until(calm);
     store.set_answer_ms(crate::store::ANSWER_MS);
@@ -572,7 +692,10 @@
         std::thread::sleep(Duration::from_secs(1));
         let ready: Vec<_> = entries.iter_mut().map(|entry| entry.is_ready()).collect();
         let now = store.calls();
-        record.line(format!("ready: {ready:?}; {} calls to the store in a second", now - calls));
+        record.line(format!(
+            "ready: {ready:?}; {} calls to the store in a second",
+            now - calls
+        ));
         calls = now;
     }
     for client in clients {
@@ -584,7 +707,9 @@
         (began_at + CONTACT..trouble).contains(&at) || (calm + CONTACT..end).contains(&at)
     };
     let count = |is_added: bool| {
-        let meant = seen.iter().filter(|one| one.is_added == is_added && in_touch(one.sent_at));
+        let meant = seen
+            .iter()
+            .filter(|one| one.is_added == is_added && in_touch(one.sent_at));
         let served = meant.clone().filter(|one| one.is_served).count();
         (served, meant.count())
     };
@@ -594,7 +719,9 @@
          {added} on those that were added"
     ));
     if first_served == 0 || added < 20 {
-        return Err("too little was served before the disruption, or asked for after it".to_owned());
+        return Err(
+            "too little was served before the disruption, or asked for after it".to_owned(),
+        );
     }
     let (first_share, added_share) = (
         first_served as f64 / first as f64,
@@ -650,14 +777,25 @@
             } else {
                 ("POST /orders/new HTTP/1.1".to_owned(), HOST.1)
             };
-            let fields = [("Host", host), KEY, ("Request-Id", id.as_str()), ("Deadline-Ms", "4000")];
+            let fields = [
+                ("Host", host),
+                KEY,
+                ("Request-Id", id.as_str()),
+                ("Deadline-Ms", "4000"),
+            ];
             let answer = Client::connect(address)
                 .and_then(|mut client| client.call(&first_line, &fields, b"an order"));
             let outcome = match &answer {
-                Ok(answer) => format!("{} {}", answer.status(), String::from_utf8_lossy(&answer.body)),
+                Ok(answer) => format!(
+                    "{} {}",
+                    answer.status(),
+                    String::from_utf8_lossy(&answer.body)
+                ),
                 Err(error) => error.to_string(),
             };
-            record.line(format!("client of machine {machine}: {id} ({first_line}): {outcome}"));
+            record.line(format!(
+                "client of machine {machine}: {id} ({first_line}): {outcome}"
+            ));
             let is_served = answer.is_ok_and(|answer| answer.status() == 200);
             seen.lock().expect("requests").push(Seen {
                 sent_at,
--- a/review/standins-2/entry.rs
+++ b/review/standins-2/entry.rs
@@ -48,7 +48,9 @@
 pub fn start(folder: &Path, store: SocketAddr, count: u8) -> Result<Vec<Entry>, String> {
     let ip = |number: u8| IpAddr::V4(Ipv4Addr::new(127, 0, 7, 1 + number));
     let peer_port = free_port(ip(0)).map_err(|error| error.to_string())?;
-    let seeds: Vec<_> = (0..count.min(3)).map(|number| format!("\"{}:1\"", ip(number))).collect();
+    let seeds: Vec<_> = (0..count.min(3))
+        .map(|number| format!("\"{}:1\"", ip(number)))
+        .collect();
     let mut entries = Vec::new();
     for number in 0..count {
         let address = ip(number);
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -46,7 +46,9 @@
     let mut parts = text.split('%');
     let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
     for part in parts {
-        let code = part.get(..2).and_then(|code| u8::from_str_radix(code, 16).ok());
+        let code = part
+            .get(..2)
+            .and_then(|code| u8::from_str_radix(code, 16).ok());
         bytes.push(code.unwrap_or(b'?'));
         bytes.extend_from_slice(part.get(2..).unwrap_or_default().as_bytes());
     }
@@ -110,7 +112,10 @@
             body.extend_from_slice(&chunk);
         }
     }
-    match head.field("content-length").and_then(|text| text.parse().ok()) {
+    match head
+        .field("content-length")
+        .and_then(|text| text.parse().ok())
+    {
         Some(length) => {
             body.resize(length, 0);
             reader.read_exact(&mut body)?;
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -25,7 +25,8 @@
 }
 
 /// What a replica does with a request that is meant for it; returns whether the connection may serve another one.
-pub type Handler = Arc<dyn Fn(&Replica, &Message, &mut TcpStream) -> io::Result<bool> + Send + Sync>;
+pub type Handler =
+    Arc<dyn Fn(&Replica, &Message, &mut TcpStream) -> io::Result<bool> + Send + Sync>;
 
 impl Replica {
     /// Starts a replica and registers it in the store. The stage is that of a model's replica.
@@ -62,7 +63,10 @@
     }
 
     pub fn register(&self, store: &Store, service: &str, stage: Option<&str>, state: &str) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis();
         let address = self.address;
         let model = stage.map_or(String::new(), |stage| {
             format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
@@ -104,7 +108,8 @@
             let target = request.field("target-instance");
             let served = if target.is_some_and(|target| target != self.id) {
                 let fields = [("Instance-Id", self.id.as_str()), ("Not-Executed", "1")];
-                write_message(stream, "HTTP/1.1 421 Misdirected Request", &fields, b"").map(|()| true)
+                write_message(stream, "HTTP/1.1 421 Misdirected Request", &fields, b"")
+                    .map(|()| true)
             } else {
                 handler(self, &request, stream)
             };
