End doubts about the configuration by any later read of the store

Cause: a watch answered with 410 may have missed a configuration. This was noted as a configuration written after the confirmed revision R, which only a confirmation beyond R ends. If nothing was written, every read confirms R again. The loop paused after failed calls only.

Change: the tracker keeps a known change with the moment when it was noted, and a doubt as a moment only. A read that began later ends both, whatever its revision, since the store's answers are linearizable. A doubt makes the entry read and prove nothing meanwhile; it doesn't make the configuration overdue. The loop pauses after a read that leaves something to be read.

--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -43,7 +43,12 @@
     loop {
         while entry.tracker.borrow().needs_read() {
             match read_configuration(&entry).await {
-                Ok(()) => has_failed = false,
+                Ok(()) => {
+                    has_failed = false;
+                    if entry.tracker.borrow().needs_read() {
+                        compio::time::sleep(RETRY_PAUSE).await;
+                    }
+                }
                 Err(error) => {
                     if !has_failed {
                         tracing::warn!(event = "configuration_not_read", %error);
@@ -122,7 +127,7 @@
 /// Records that the configuration that was read last was the newest up to a revision and a moment.
 fn note_confirmed(entry: &Entry, revision: StoreRevision, proved_at: Moment) {
     let mut tracker = entry.tracker.borrow_mut();
-    tracker.confirm(revision);
+    tracker.confirm(revision, proved_at);
     if tracker.may_prove() {
         entry.registry.borrow_mut().prove(proved_at);
     }
--- a/crates/camphorwall-direct/src/store/evacuations_tests.rs
+++ b/crates/camphorwall-direct/src/store/evacuations_tests.rs
@@ -24,7 +24,7 @@
 async fn a_watch_that_began_after_the_known_revision_proves_nothing() {
     let entry = entry_with_empty_dialect();
     apply_listed(&entry, &[], 5.into());
-    entry.tracker.borrow_mut().confirm(9);
+    entry.tracker.borrow_mut().confirm(9, Moment::now());
     entry.is_watching_all.set(true);
     assert!(!is_covered(&entry, 5));
     note_watched_all(&entry, 9, 12, Moment::now());
@@ -41,7 +41,7 @@
 async fn a_watch_of_endpoints_shows_no_evacuations() {
     let entry = entry_with_empty_dialect();
     apply_listed(&entry, &[], 5.into());
-    entry.tracker.borrow_mut().confirm(5);
+    entry.tracker.borrow_mut().confirm(5, Moment::now());
     assert!(!is_covered(&entry, 5));
     entry.is_watching_all.set(true);
     assert!(is_covered(&entry, 5));
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -141,13 +141,18 @@
             (Err(StoreError::HistoryDiscarded), Source::Neighbour(_))
             | (Err(StoreError::Restored), _) => revision = None,
             (Err(StoreError::HistoryDiscarded), Source::Store) => {
-                tracing::info!(event = "store_history_lost");
                 let now = Moment::now();
+                let confirmed_to = entry.tracker.borrow().confirmed_to();
+                tracing::info!(
+                    event = "store_history_lost",
+                    after = revision.map(|revision| revision.number),
+                    configuration_confirmed_to = confirmed_to.map(|known| known.number),
+                );
                 let mut registry = entry.registry.borrow_mut();
                 registry.contact.note_answer(called_at, WATCH_WAIT, now);
                 drop(registry);
                 // A change of the configuration may be among the lost ones.
-                entry.tracker.borrow_mut().suspect_change(now);
+                entry.tracker.borrow_mut().doubt(now);
                 entry.configuration_wanted.notify();
                 revision = None;
             }
@@ -340,7 +345,7 @@
     let known_to = proved_by(sent_at, changes.items.is_empty(), elapsed, wait);
     note_watched_all(entry, after.number, changes.revision.number, known_to);
     let mut tracker = entry.tracker.borrow_mut();
-    tracker.confirm(changes.revision);
+    tracker.confirm(changes.revision, known_to);
     if tracker.may_prove() {
         entry.registry.borrow_mut().prove(known_to);
     }
@@ -452,7 +457,7 @@
     if reported.revision > tracker.read_revision() {
         tracker.note_change(reported.revision.before(), now);
     } else {
-        tracker.confirm(reported.confirmed_to);
+        tracker.confirm(reported.confirmed_to, proved_at);
     }
     if let Some(after) = reported.changed_after {
         tracker.note_change(after, now);
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -25,7 +25,7 @@
     entry.reads_store.set(true);
     let proved_at = Moment::now() - proof_age;
     entry.registry.borrow_mut().prove(proved_at);
-    entry.tracker.borrow_mut().confirm(4);
+    entry.tracker.borrow_mut().confirm(4, Moment::now());
     {
         let mut registry = entry.registry.borrow_mut();
         registry.evacuations.advance(4, Some(proved_at));
@@ -60,7 +60,7 @@
         began_at: Moment::now(),
     };
     put_in_force(entry, configuration, revision, figures);
-    entry.tracker.borrow_mut().confirm(revision);
+    entry.tracker.borrow_mut().confirm(revision, Moment::now());
 }
 
 #[rstest]
@@ -172,7 +172,7 @@
 async fn a_follower_learns_of_a_change_that_its_reader_has_not_read_yet() {
     let (reader, address, _stop) = reader(Duration::ZERO).await;
     let follower = entry_with_empty_dialect();
-    follower.tracker.borrow_mut().confirm(4);
+    follower.tracker.borrow_mut().confirm(4, Moment::now());
     reader.tracker.borrow_mut().note_change(4, Moment::now());
     register(&reader, 7);
     assert!(follow_reader(&follower, address, 4).await.is_ok());
@@ -203,7 +203,10 @@
 async fn reader_in_era(era: u64) -> (Rc<Entry>, SocketAddr, StopHandle) {
     let (reader, address, stop) = reader(Duration::ZERO).await;
     reader.store_era.set(Some(era));
-    reader.tracker.borrow_mut().confirm(revision(era, 4));
+    reader
+        .tracker
+        .borrow_mut()
+        .confirm(revision(era, 4), Moment::now());
     let now = Moment::now();
     reader
         .mirror
--- a/crates/camphorwall-direct/src/store/tracker.rs
+++ b/crates/camphorwall-direct/src/store/tracker.rs
@@ -15,9 +15,11 @@
     /// Revision up to which there is no configuration newer than the one that came last, whether it could be read or not;
     /// `None` before the first read.
     confirmed_to: Option<StoreRevision>,
-    /// A newer configuration was written after this revision.
-    changed_after: Option<StoreRevision>,
-    /// When the first sign of the newer configuration came.
+    /// A newer configuration that is known to have been written.
+    change: Option<KnownChange>,
+    /// Moment before which a configuration may have been written unnoticed.
+    doubted_at: Option<Moment>,
+    /// When the first sign of the known newer configuration came.
     outdated_since: Option<Moment>,
     /// A configuration newer than the one that was read last that can't be put in force.
     stuck: Option<StuckConfiguration>,
@@ -31,6 +33,15 @@
     earlier_version: u64,
 }
 
+/// A configuration that was written and has not come yet.
+#[derive(Clone, Copy, Debug)]
+struct KnownChange {
+    /// It was written after this revision.
+    after: StoreRevision,
+    /// It was written before this moment.
+    noted_at: Moment,
+}
+
 /// A configuration that came from the store and can't be put in force.
 #[derive(Debug)]
 pub(crate) struct StuckConfiguration {
@@ -71,8 +82,7 @@
     /// Revision after which a configuration was written that is not in force.
     pub(crate) fn changed_after(&self) -> Option<StoreRevision> {
         let stuck = self.stuck.as_ref().map(|stuck| stuck.revision.before());
-        let unread = self.changed_after.filter(|_| self.is_unread());
-        stuck.max(unread)
+        stuck.max(self.unread_change().map(|change| change.after))
     }
 
     /// Records that a configuration was read. It is the newest one at least up to its own revision.
@@ -80,7 +90,7 @@
         let revision = revision.into();
         self.read_revision = self.read_revision.max(revision);
         self.stuck = self.stuck.take().filter(|stuck| stuck.revision > revision);
-        self.confirm(revision);
+        self.confirm_to(revision);
     }
 
     /// Records that a configuration came that can't be put in force. Until a newer one is, what is in force is not the
@@ -104,29 +114,45 @@
             since,
             cause,
         });
-        self.confirm(revision);
+        self.confirm_to(revision);
         true
     }
 
-    /// Records that there is no configuration newer than the one that came last, up to a revision.
-    pub(crate) fn confirm(&mut self, revision: impl Into<StoreRevision>) {
+    /// Records that there was no configuration newer than the one that came last, up to a revision and at a moment.
+    pub(crate) fn confirm(&mut self, revision: impl Into<StoreRevision>, proved_at: Moment) {
+        let revision = revision.into();
+        if revision.era == self.era {
+            // Whatever was written before the moment has come, whatever its revision.
+            self.doubted_at = self.doubted_at.filter(|doubted| proved_at < *doubted);
+            self.change = self.change.filter(|change| proved_at < change.noted_at);
+        }
+        self.confirm_to(revision);
+    }
+
+    fn confirm_to(&mut self, revision: impl Into<StoreRevision>) {
         self.confirmed_to = self.confirmed_to.max(Some(revision.into()));
-        if !self.is_outdated() {
+        if !self.knows_newer() {
             self.outdated_since = None;
         }
     }
 
     /// Records that a configuration was written after a revision.
     pub(crate) fn note_change(&mut self, after: impl Into<StoreRevision>, now: Moment) {
-        self.changed_after = self.changed_after.max(Some(after.into()));
-        if self.is_outdated() {
+        let known = self.unread_change().map(|change| change.after);
+        let change = KnownChange {
+            after: known.max(Some(after.into())).unwrap_or_default(),
+            noted_at: now,
+        };
+        self.change = Some(change);
+        if self.knows_newer() {
             self.outdated_since.get_or_insert(now);
         }
     }
 
-    /// Records that a configuration may have been written since the last confirmation.
-    pub(crate) fn suspect_change(&mut self, now: Moment) {
-        self.note_change(self.confirmed_to.unwrap_or_default(), now);
+    /// Records that a configuration may have been written unnoticed. None need have been, so a read that began later
+    /// rules it out, even if the store's revision has not changed.
+    pub(crate) fn doubt(&mut self, now: Moment) {
+        self.doubted_at = Some(now);
     }
 
     /// Records the era in which an entry that has just started finds the store.
@@ -176,15 +202,21 @@
         !self.is_outdated() && !self.is_behind()
     }
 
-    /// Whether there is a newer configuration than the one that was read last, as far as is known.
+    /// Whether there may be a newer configuration than the one that was read last.
     pub(crate) fn is_outdated(&self) -> bool {
-        self.stuck.is_some() || self.is_unread()
+        self.knows_newer() || self.doubted_at.is_some()
+    }
+
+    /// Whether there is a newer configuration than the one that was read last.
+    fn knows_newer(&self) -> bool {
+        self.stuck.is_some() || self.unread_change().is_some()
     }
 
-    /// Whether there is a newer configuration that has not come yet.
-    fn is_unread(&self) -> bool {
-        self.changed_after
-            .is_some_and(|after| self.confirmed_to.is_none_or(|known| known <= after))
+    /// The newer configuration that has not come yet.
+    fn unread_change(&self) -> Option<KnownChange> {
+        let confirmed_to = self.confirmed_to;
+        self.change
+            .filter(|change| confirmed_to.is_none_or(|known| known <= change.after))
     }
 
     /// Time since the first sign of a newer configuration that hasn't been read yet.
@@ -194,6 +226,6 @@
 
     /// Whether the configuration must be read.
     pub(crate) fn needs_read(&self) -> bool {
-        self.confirmed_to.is_none() || self.is_unread()
+        self.confirmed_to.is_none() || self.unread_change().is_some() || self.doubted_at.is_some()
     }
 }
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -10,7 +10,7 @@
 fn confirmed() -> ConfigurationTracker {
     let mut tracker = ConfigurationTracker::default();
     tracker.note_read(5);
-    tracker.confirm(8);
+    tracker.confirm(8, at_ms(500));
     tracker
 }
 
@@ -19,7 +19,7 @@
     let mut tracker = ConfigurationTracker::default();
     assert!(tracker.needs_read());
     assert!(!tracker.is_outdated());
-    tracker.confirm(8);
+    tracker.confirm(8, at_ms(500));
     assert!(!tracker.needs_read());
 }
 
@@ -29,18 +29,49 @@
     tracker.note_change(8, at_ms(1_000));
     assert!(tracker.needs_read());
     // A read that began before the change confirms an older revision.
-    tracker.confirm(8);
+    tracker.confirm(8, at_ms(900));
     assert!(tracker.needs_read());
     assert_eq!(
         tracker.outdated_for(at_ms(1_300)),
         Some(Duration::from_millis(300))
     );
     tracker.note_read(10);
-    tracker.confirm(11);
+    tracker.confirm(11, at_ms(900));
     assert!(!tracker.needs_read());
     assert_eq!(tracker.outdated_for(at_ms(1_300)), None);
 }
 
+/// Guards against an entry that reads the configuration for ever and refuses all requests after the store has discarded its
+/// history: no change need be among the lost ones, so the store's revision may stay where it is.
+#[test]
+fn a_doubt_ends_with_a_read_that_began_after_it_at_an_unchanged_revision() {
+    let mut tracker = confirmed();
+    tracker.doubt(at_ms(1_000));
+    assert!(tracker.needs_read() && !tracker.may_prove());
+    // A read that was under way may lack the change.
+    tracker.confirm(9, at_ms(900));
+    assert!(tracker.needs_read());
+    assert_eq!(
+        (tracker.outdated_for(at_ms(9_000)), tracker.changed_after()),
+        (None, None)
+    );
+    tracker.confirm(9, at_ms(1_000));
+    assert!(!tracker.needs_read() && tracker.may_prove());
+}
+
+/// Guards against an entry that believes in a change, of which another entry told it, that the store doesn't have.
+#[test]
+fn a_change_that_a_later_read_does_not_find_is_not_expected_any_longer() {
+    let mut tracker = confirmed();
+    tracker.note_change(8, at_ms(1_000));
+    tracker.doubt(at_ms(1_100));
+    tracker.confirm(8, at_ms(1_050));
+    assert_eq!(tracker.outdated_for(at_ms(9_000)), None);
+    assert!(tracker.needs_read());
+    tracker.confirm(8, at_ms(1_200));
+    assert!(!tracker.needs_read() && tracker.may_prove());
+}
+
 #[test]
 fn a_late_report_of_a_change_that_has_been_read_is_ignored() {
     let mut tracker = confirmed();
@@ -82,7 +113,7 @@
     };
     assert!(tracker.note_stuck(10, cause.clone(), at_ms(1_000)));
     assert!(!tracker.note_stuck(10, cause, at_ms(2_000)), "it is known");
-    tracker.confirm(30);
+    tracker.confirm(30, at_ms(2_500));
     assert!(tracker.is_outdated() && !tracker.needs_read());
     assert_eq!(
         tracker.outdated_for(at_ms(3_000)),
@@ -112,7 +143,7 @@
     tracker.begin_era(1, at_ms(1_000));
     assert!(tracker.needs_read() && !tracker.may_prove());
     // An answer that was on its way has a revision that the store has not issued again yet.
-    tracker.confirm(900);
+    tracker.confirm(900, at_ms(1_200));
     assert!(tracker.needs_read());
     tracker.note_read(in_era(1, 5));
     tracker.note_version(3, in_era(1, 5));
