Suspect all prompt parts of a crash until answers with them have ended

Cause: parts were suspected only in requests without an event, and the first event of any request cleared its parts. That an answer has begun was taken for proof that it ends.

Change: all parts of all requests at the endpoint are suspected, with the point of the run. An answer clears its parts only when it has ended, of crashes that were not further on, or with two others. Three crashes at the beginning of answers block a part, otherwise five that no other part explains better. Counting moves to crash_evidence.rs. Tests clear parts by answers that have ended, and expect the longer blocks.

--- a/crates/camphorwall-direct/src/endpoints/mod.rs
+++ b/crates/camphorwall-direct/src/endpoints/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod cold;
 pub(crate) mod cold_limit;
 pub(crate) mod cold_times;
+pub(crate) mod crash_evidence;
 pub(crate) mod evacuation;
 pub(crate) mod notices;
 pub(crate) mod poison;
--- a/crates/camphorwall-direct/src/endpoints/poison.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison.rs
@@ -4,48 +4,44 @@
 //! crashes that it met at the same point of its run, each after the one before, and that no other suspect explains: one that
 //! only ran beside a harmful one, or at endpoints that were killed, meets them at points that differ, or with companions.
 //!
-//! An engine that can't bear a prompt part crashes as soon as it begins to write the answer. Prompt parts are suspected in
-//! requests that the endpoint had not begun to answer, until an answer to a later request with the same part begins.
+//! So are all prompt parts of these requests. A part is cleared of a crash by an answer to a request that contains it, once the
+//! answer has ended and has come as far, or by several that were shorter. That an answer has begun shows nothing, since the
+//! crash may follow.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
 
+use super::crash_evidence::{
+    BEGUN_EVENTS, Crash, MIN_CRASHES, PartEvidence, SAME_MOMENT, consecutive_crashes,
+    separate_crashes, separate_events,
+};
 use crate::{clock::Moment, configuration::EndpointIncarnation, dialect::PromptPart};
 
-/// Number of crashes from which on what they have in common is blocked.
-const MIN_CRASHES: usize = 3;
-
-/// Number of crashes for what is less certain: those that a request met with a companion, or at points that differ.
+/// Number of crashes for what is less certain: those that a request met with a companion, or at points that differ, and those
+/// of a prompt part after the beginning of an answer, where other streams were under way too.
 const MIN_UNCERTAIN_CRASHES: usize = 5;
 
-/// Number of events from which on an answer is under way. An endpoint that crashes as it begins an answer may have sent one.
-pub(crate) const BEGUN_EVENTS: u32 = 2;
-
-/// Divisor of a run's events that gives the difference within which two crashes happened at the same point of a run.
-const POINT_PART: u32 = 16;
-
-/// Time over which the crashes of one request must extend to incriminate its prompt parts: other requests with a part that
-/// many share begin within it, and clear the part.
+/// Time over which the crashes of one request must extend to incriminate its prompt parts, so that answers to other requests can
+/// clear them meanwhile.
 const MIN_PART_EVIDENCE: Duration = Duration::from_millis(300);
 
-/// Time within which crashes of several endpoints count as one event.
-const SAME_MOMENT: Duration = Duration::from_millis(100);
-
-/// Time between two crashes from which on both count against a request although its second run began before the first crash.
-const SEPARATE_CRASHES: Duration = Duration::from_millis(500);
+/// Number of complete answers that clear a prompt part of a crash before which a request with it had come further.
+const CLEARING_ANSWERS: u32 = 3;
 
-/// Time after its last crash for which a request is blocked, and a prompt part with the minimum of crashes. For a part,
-/// each further crash doubles it.
+/// Time after its last crash for which a request is blocked, and a prompt part with the minimum of crashes.
 const BLOCK_DURATION: Duration = Duration::from_secs(60);
 
+/// Factor on the block of a prompt part for each further crash. Few crashes follow even if such requests come for hours.
+const BLOCK_GROWTH: u32 = 4;
+
 /// Upper limit on the block of a prompt part, and retention time of crash records.
-const MAX_BLOCK_DURATION: Duration = Duration::from_secs(600);
+const MAX_BLOCK_DURATION: Duration = Duration::from_secs(24 * 3_600);
 
-/// Number of records at which the oldest one is dropped for a new one.
+/// Number of records at which one is dropped for a new one.
 const MAX_RECORDS: usize = 512;
 
 /// Number of heartbeats that report a new or changed record at once, since datagrams may be lost.
@@ -54,6 +50,10 @@
 /// Time after which a record is reported again, for entries that have started or were unreachable.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
+/// Divisor of a record's age that gives the time after which it is reported again if it has nothing in common with other
+/// crashes.
+const LONE_REPORT_PART: u32 = 16;
+
 /// Maximum number of records in one heartbeat.
 const MAX_REPORTS: usize = 8;
 
@@ -90,7 +90,7 @@
 #[derive(Debug)]
 struct Suspect {
     /// Parts of its prompt that may be the cause.
-    parts: Vec<PromptPart>,
+    parts: Vec<SuspectedPart>,
     /// Events that the endpoint had sent.
     run_events: u32,
     /// Whether the request went further later, so that another one caused the crash.
@@ -98,29 +98,55 @@
     sent_at: Moment,
     crashed_at: Moment,
     urgent_reports: u32,
-    next_report_at: Moment,
+    /// When the record was last reported, or came from a peer.
+    reported_at: Moment,
+}
+
+/// A prompt part that may have caused a crash.
+#[derive(Clone, Copy, Debug)]
+struct SuspectedPart {
+    part: PromptPart,
+    /// Complete answers to requests with the part since the crash.
+    answers: u32,
+}
+
+fn suspected(parts: Vec<PromptPart>) -> Vec<SuspectedPart> {
+    let parts = parts.into_iter();
+    let parts = parts.map(|part| SuspectedPart { part, answers: 0 });
+    parts.collect()
 }
 
 impl Suspect {
-    fn times(&self) -> CrashTimes {
-        CrashTimes {
+    /// Parts of its prompt that may be the cause.
+    fn parts(&self) -> impl Iterator<Item = PromptPart> {
+        self.parts.iter().map(|suspected| suspected.part)
+    }
+
+    fn suspects_part(&self, part: PromptPart) -> bool {
+        self.parts().any(|suspected| suspected == part)
+    }
+
+    fn crash(&self) -> Crash {
+        Crash {
             crashed_at: self.crashed_at,
             sent_at: self.sent_at,
+            run_events: self.run_events,
+            answers: 0,
         }
     }
 
-    /// Whether another crash happened at the same point of the run.
-    fn is_at_point_of(&self, other: &Self) -> bool {
-        if self.run_events < BEGUN_EVENTS {
-            return other.run_events < BEGUN_EVENTS;
-        }
-        let difference = self.run_events.abs_diff(other.run_events);
-        difference <= 1 + self.run_events / POINT_PART
+    const fn report_urgently(&mut self) {
+        self.urgent_reports = URGENT_REPORTS;
     }
 
-    fn report_urgently(&mut self, now: Moment) {
-        self.urgent_reports = URGENT_REPORTS;
-        self.next_report_at = now;
+    fn is_due(&self, is_telling: bool, now: Moment) -> bool {
+        let lone_period = now.since(self.crashed_at) / LONE_REPORT_PART;
+        let period = if is_telling {
+            REPORT_PERIOD
+        } else {
+            REPORT_PERIOD.max(lone_period)
+        };
+        self.urgent_reports > 0 || now.since(self.reported_at) >= period
     }
 }
 
@@ -140,9 +166,14 @@
     pub(crate) crash_age_ms: u32,
 }
 
-/// Suspects of crashes, by the start of the endpoint that ended with the crash and by request.
+/// Suspects of crashes.
 #[derive(Debug, Default)]
-pub(crate) struct Poison(HashMap<(EndpointIncarnation, Fingerprint), Suspect>);
+pub(crate) struct Poison {
+    /// By the start of the endpoint that ended with the crash and by request.
+    records: HashMap<(EndpointIncarnation, Fingerprint), Suspect>,
+    /// What the records have in common; `None` when they have changed.
+    recurrent: Option<Recurrent>,
+}
 
 impl Poison {
     /// Records that an endpoint crashed at `crashed_at` when it had sent `run_events` events of the answer to a request.
@@ -154,25 +185,20 @@
         sent_at: Moment,
         crashed_at: Moment,
     ) {
-        let known = self.0.get(&(crash, content.fingerprint));
+        let known = self.records.get(&(crash, content.fingerprint));
         if known.is_some_and(|known| known.run_events > run_events) {
             // Of several runs of one request, the one that had gone furthest counts.
             return;
         }
-        let parts = match run_events {
-            0 => content.shared_parts.clone(),
-            _ => Vec::new(),
-        };
-        let mut suspect = Suspect {
-            parts,
+        let suspect = Suspect {
+            parts: suspected(content.shared_parts.clone()),
             run_events,
             is_cleared: false,
             sent_at,
             crashed_at,
-            urgent_reports: 0,
-            next_report_at: crashed_at,
+            urgent_reports: URGENT_REPORTS,
+            reported_at: crashed_at,
         };
-        suspect.report_urgently(crashed_at);
         self.insert(crash, content.fingerprint, suspect);
     }
 
@@ -189,9 +215,14 @@
             sent_age_ms,
             crash_age_ms,
         } = reported;
-        if let Some(known) = self.0.get_mut(&(crash, fingerprint)) {
-            known.parts.retain(|part| parts.contains(part));
+        if let Some(known) = self.records.get_mut(&(crash, fingerprint)) {
+            let is_suspected = |known: &SuspectedPart| parts.contains(&known.part);
+            let (parts_known, was_cleared) = (known.parts.len(), known.is_cleared);
+            known.parts.retain(is_suspected);
             known.is_cleared |= is_cleared;
+            if (known.parts.len(), known.is_cleared) != (parts_known, was_cleared) {
+                self.recurrent = None;
+            }
             if known.run_events < run_events {
                 known.run_events = run_events;
                 known.sent_at = now - Duration::from_millis(sent_age_ms.into());
@@ -203,92 +234,104 @@
             shared_parts: parts.clone(),
         };
         let suspect = Suspect {
-            parts,
+            parts: suspected(parts),
             run_events,
             is_cleared,
             sent_at: now - Duration::from_millis(sent_age_ms.into()),
             crashed_at: now - Duration::from_millis(crash_age_ms.into()),
             urgent_reports: 0,
-            next_report_at: now + REPORT_PERIOD,
+            reported_at: now,
         };
         self.insert(crash, fingerprint, suspect);
         Some(content)
     }
 
     fn insert(&mut self, crash: EndpointIncarnation, fingerprint: Fingerprint, suspect: Suspect) {
-        if self.0.len() >= MAX_RECORDS {
-            let oldest = self.0.iter().min_by_key(|(_, other)| other.crashed_at);
-            let oldest = oldest.map(|(key, _)| *key);
-            oldest.map(|key| self.0.remove(&key));
-        }
-        self.0.insert((crash, fingerprint), suspect);
-    }
-
-    /// Records that an endpoint began to answer a request that was sent at `sent_at`: none of its prompt parts caused the
-    /// crashes before that.
-    pub(crate) fn note_begun(&mut self, content: &Content, sent_at: Moment, now: Moment) {
-        for suspect in self.0.values_mut() {
-            if suspect.crashed_at > sent_at {
-                continue;
-            }
-            let known = suspect.parts.len();
-            let is_suspected = |part: &PromptPart| !content.shared_parts.contains(part);
-            suspect.parts.retain(is_suspected);
-            if suspect.parts.len() < known {
-                suspect.report_urgently(now);
-            }
+        if self.records.len() >= MAX_RECORDS {
+            let recurrent = recurrent(&self.records);
+            let dropped = self
+                .records
+                .iter()
+                .min_by_key(|(key, other)| (recurrent.is_telling(key.1, other), other.crashed_at));
+            let dropped = dropped.map(|(key, _)| *key);
+            dropped.map(|key| self.records.remove(&key));
         }
+        self.records.insert((crash, fingerprint), suspect);
+        self.recurrent = None;
     }
 
     /// Records that the answer to a request that was sent at `sent_at` is under way: the request caused none of the crashes
     /// that it met as its answer began before that.
-    pub(crate) fn note_under_way(
-        &mut self,
-        fingerprint: Fingerprint,
-        sent_at: Moment,
-        now: Moment,
-    ) {
-        for ((_, suspected), suspect) in &mut self.0 {
+    pub(crate) fn note_under_way(&mut self, fingerprint: Fingerprint, sent_at: Moment) {
+        for ((_, suspected), suspect) in &mut self.records {
             let is_cleared = *suspected == fingerprint
                 && suspect.run_events < BEGUN_EVENTS
                 && suspect.crashed_at <= sent_at;
             if is_cleared && !suspect.is_cleared {
                 suspect.is_cleared = true;
-                suspect.report_urgently(now);
+                suspect.report_urgently();
+                self.recurrent = None;
+            }
+        }
+    }
+
+    /// Records an answer that ended as its endpoint meant it to, after a number of events: another request must have crashed
+    /// the request's endpoints, and other parts those that its own had not come further before.
+    pub(crate) fn note_answer(&mut self, content: &Content, run_events: u32) {
+        self.note_end(content.fingerprint);
+        for suspect in self.records.values_mut() {
+            let known = suspect.parts.len();
+            let came_as_far = run_events >= suspect.run_events;
+            suspect.parts.retain_mut(|suspected| {
+                if !content.shared_parts.contains(&suspected.part) {
+                    return true;
+                }
+                suspected.answers += 1;
+                !came_as_far && suspected.answers < CLEARING_ANSWERS
+            });
+            if suspect.parts.len() < known {
+                suspect.report_urgently();
+                self.recurrent = None;
             }
         }
     }
 
-    /// Clears a request that was answered completely: another request must have crashed its endpoints.
-    pub(crate) fn note_answer(&mut self, fingerprint: Fingerprint, now: Moment) {
-        for ((_, suspected), suspect) in &mut self.0 {
+    /// Clears a request whose answer ended, be it an error: another request must have crashed its endpoints.
+    pub(crate) fn note_end(&mut self, fingerprint: Fingerprint) {
+        for ((_, suspected), suspect) in &mut self.records {
             if *suspected == fingerprint && !suspect.is_cleared {
                 suspect.is_cleared = true;
-                suspect.report_urgently(now);
+                suspect.report_urgently();
+                self.recurrent = None;
             }
         }
     }
 
     /// Takes the records that the next heartbeat reports, those that are due longest first.
     pub(crate) fn report(&mut self, now: Moment) -> Vec<ReportedSuspect> {
-        self.0
+        let known = self.records.len();
+        self.records
             .retain(|_, suspect| now.since(suspect.crashed_at) < MAX_BLOCK_DURATION);
-        let due = self.0.iter_mut();
-        let mut due: Vec<_> = due
-            .filter(|(_, suspect)| suspect.next_report_at <= now)
-            .collect();
-        due.sort_by_key(|(_, suspect)| suspect.next_report_at);
+        if self.records.len() < known {
+            self.recurrent = None;
+        }
+        let records = &mut self.records;
+        let recurrent = self.recurrent.get_or_insert_with(|| recurrent(records));
+        let due = records.iter_mut().filter(|(key, suspect)| {
+            let is_telling = recurrent.is_telling(key.1, suspect);
+            suspect.is_due(is_telling, now)
+        });
+        let mut due: Vec<_> = due.collect();
+        due.sort_by_key(|(_, suspect)| (suspect.urgent_reports == 0, suspect.reported_at));
         due.truncate(MAX_REPORTS);
         let age_ms = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let report = |(key, suspect): (&(EndpointIncarnation, Fingerprint), &mut Suspect)| {
             suspect.urgent_reports = suspect.urgent_reports.saturating_sub(1);
-            if suspect.urgent_reports == 0 {
-                suspect.next_report_at = now + REPORT_PERIOD;
-            }
+            suspect.reported_at = now;
             ReportedSuspect {
                 crash: key.0,
                 fingerprint: key.1,
-                parts: suspect.parts.clone(),
+                parts: suspect.parts().collect(),
                 run_events: suspect.run_events,
                 is_cleared: suspect.is_cleared,
                 sent_age_ms: age_ms(suspect.sent_at),
@@ -301,13 +344,13 @@
     /// Number of records.
     #[cfg(test)]
     pub(crate) fn len(&self) -> usize {
-        self.0.len()
+        self.records.len()
     }
 
     /// Why a request must not be sent; `None` if it may be.
     #[must_use]
     pub(crate) fn block(&self, content: &Content, now: Moment) -> Option<Block> {
-        if self.0.is_empty() {
+        if self.records.is_empty() {
             return None;
         }
         self.part_block(&content.shared_parts, now)
@@ -327,11 +370,11 @@
         let own: BTreeMap<_, _> = own.iter().filter(is_unexplained).collect();
         let times = |is_meant: &dyn Fn(&Suspect) -> bool| {
             let meant = own.values().filter(|suspect| is_meant(suspect));
-            separate_crashes(meant.map(|suspect| suspect.times()))
+            separate_crashes(meant.map(|suspect| suspect.crash()))
         };
         let alike = own
             .values()
-            .map(|one| times(&|other| one.is_at_point_of(other)));
+            .map(|one| times(&|other| one.crash().is_at_point_of(&other.crash())));
         let alike = alike.max().unwrap_or(0);
         let all = times(&|_| true);
         let has_companion = self
@@ -358,7 +401,7 @@
         mut crashes: impl Iterator<Item = EndpointIncarnation> + Clone,
     ) -> impl Iterator<Item = Fingerprint> {
         let first = crashes.next();
-        let records = self.0.iter();
+        let records = self.records.iter();
         let suspects = records
             .filter(move |((crash, _), suspect)| Some(*crash) == first && !suspect.is_cleared);
         let suspects = suspects.map(|((_, fingerprint), _)| *fingerprint);
@@ -372,7 +415,7 @@
 
     /// Crashes of which a request is suspected.
     fn crashes_of(&self, fingerprint: Fingerprint) -> BTreeMap<EndpointIncarnation, &Suspect> {
-        let records = self.0.iter();
+        let records = self.records.iter();
         let own = records
             .filter(|((_, suspected), suspect)| *suspected == fingerprint && !suspect.is_cleared);
         own.map(|((crash, _), suspect)| (*crash, suspect)).collect()
@@ -380,7 +423,7 @@
 
     /// Whether other endpoints, without this request, crashed at the same time.
     fn has_others_at(&self, moment: Moment, own: &BTreeMap<EndpointIncarnation, &Suspect>) -> bool {
-        self.0.iter().any(|((crash, _), other)| {
+        self.records.iter().any(|((crash, _), other)| {
             let distance = other
                 .crashed_at
                 .since(moment)
@@ -397,22 +440,23 @@
         fingerprint: Fingerprint,
         own_count: usize,
     ) -> bool {
-        let own_parts = self.0.get(&(crash, fingerprint));
-        let own_parts = own_parts.map_or(&[][..], |suspect| &suspect.parts);
-        let others = self.0.iter();
+        let own_parts = self.records.get(&(crash, fingerprint));
+        let own_parts: Vec<_> = own_parts.map_or_else(Vec::new, |own| own.parts().collect());
+        let others = self.records.iter();
         let mut others = others.filter(|((at, other), _)| *at == crash && *other != fingerprint);
         others.any(|((_, other), suspect)| {
-            let explains_by_part = |part: &&PromptPart| {
-                let crashes = self.crashes_with(**part).into_values();
-                !own_parts.contains(part) && consecutive_crashes(crashes) >= MIN_CRASHES
+            let explains_by_part = |part: &PromptPart| {
+                let crashes = self.crashes_with(*part);
+                let evidence = PartEvidence::of(&crashes);
+                !own_parts.contains(part) && self.part_crashes(&crashes, &evidence).is_some()
             };
             let its_crashes = self.crashes_of(*other);
             let count = its_crashes.len();
-            let times = its_crashes.into_values().map(Suspect::times);
+            let crashes = its_crashes.into_values().map(Suspect::crash);
             let explains_by_count = count > own_count
                 && !suspect.is_cleared
-                && consecutive_crashes(times) >= MIN_CRASHES;
-            explains_by_count || suspect.parts.iter().any(|part| explains_by_part(&part))
+                && consecutive_crashes(crashes) >= MIN_CRASHES;
+            explains_by_count || suspect.parts().any(|part| explains_by_part(&part))
         })
     }
 
@@ -423,19 +467,16 @@
     fn part_block(&self, parts: &[PromptPart], now: Moment) -> Option<Block> {
         let blocks = parts.iter().filter_map(|part| {
             let crashes = self.crashes_with(*part);
-            let count = consecutive_crashes(crashes.values().copied());
-            let doublings = u32::try_from(count.checked_sub(MIN_CRASHES)?).unwrap_or(u32::MAX);
-            let first = crashes.values().map(|times| times.crashed_at).min()?;
-            let last = crashes.values().map(|times| times.crashed_at).max()?;
-            let is_by_one = || {
-                self.requests_in_all(crashes.keys().copied())
-                    .next()
-                    .is_some()
-            };
-            if last.since(first) < MIN_PART_EVIDENCE && is_by_one() {
+            let evidence = PartEvidence::of(&crashes);
+            let count = self.part_crashes(&crashes, &evidence)?;
+            let first = crashes.values().map(|crash| crash.crashed_at).min()?;
+            let last = crashes.values().map(|crash| crash.crashed_at).max()?;
+            let is_conclusive = evidence.is_certain && last.since(first) >= MIN_PART_EVIDENCE;
+            if !is_conclusive && self.is_by_one_request(*part, &crashes) {
                 return None;
             }
-            let duration = BLOCK_DURATION.saturating_mul(2_u32.saturating_pow(doublings));
+            let further = u32::try_from(count - MIN_CRASHES).unwrap_or(u32::MAX);
+            let duration = BLOCK_DURATION.saturating_mul(BLOCK_GROWTH.saturating_pow(further));
             let until = last + duration.min(MAX_BLOCK_DURATION);
             let alike = self.inseparable_parts(*part, &crashes)?;
             let is_blocked = now <= until && alike.iter().all(|part| parts.contains(part));
@@ -448,15 +489,62 @@
         blocks.max_by_key(|block| block.until)
     }
 
-    /// Crashes of which a part is suspected.
-    fn crashes_with(&self, part: PromptPart) -> BTreeMap<EndpointIncarnation, CrashTimes> {
+    /// Whether one request with a part was in all of some crashes, so that the request may be the cause and not the part.
+    fn is_by_one_request(
+        &self,
+        part: PromptPart,
+        crashes: &BTreeMap<EndpointIncarnation, Crash>,
+    ) -> bool {
+        let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
+        for ((crash, fingerprint), suspect) in &self.records {
+            if crashes.contains_key(crash) && suspect.suspects_part(part) {
+                *counts.entry(*fingerprint).or_default() += 1;
+            }
+        }
+        counts.into_values().any(|count| count == crashes.len())
+    }
+
+    /// Number of crashes that incriminate a prompt part, of those with the part; `None` if they don't.
+    fn part_crashes(
+        &self,
+        crashes: &BTreeMap<EndpointIncarnation, Crash>,
+        evidence: &PartEvidence,
+    ) -> Option<usize> {
+        if evidence.is_certain {
+            return Some(evidence.crashes.max(MIN_CRASHES));
+        }
+        let required = MIN_UNCERTAIN_CRASHES + evidence.answers;
+        if evidence.crashes < required {
+            return None;
+        }
+        let unexplained = crashes.iter();
+        let unexplained =
+            unexplained.filter(|(crash, _)| !self.is_explained_by_part(**crash, evidence));
+        let count = separate_events(unexplained.map(|(_, crash)| *crash));
+        (count >= required).then_some(count)
+    }
+
+    /// Whether there is more evidence against another prompt part that was in a crash.
+    fn is_explained_by_part(&self, crash: EndpointIncarnation, evidence: &PartEvidence) -> bool {
+        let records = self.records.iter().filter(|((at, _), _)| *at == crash);
+        let mut parts = records.flat_map(|(_, suspect)| suspect.parts());
+        parts.any(|other| PartEvidence::of(&self.crashes_with(other)).is_stronger_than(evidence))
+    }
+
+    /// Crashes of which a part is suspected, each at the furthest point that a request with the part had reached.
+    fn crashes_with(&self, part: PromptPart) -> BTreeMap<EndpointIncarnation, Crash> {
         let mut crashes = BTreeMap::new();
-        for ((crash, _), suspect) in &self.0 {
-            if suspect.parts.contains(&part) {
-                let times = suspect.times();
-                let known = crashes.entry(*crash).or_insert(times);
-                known.crashed_at = known.crashed_at.min(times.crashed_at);
-                known.sent_at = known.sent_at.max(times.sent_at);
+        for ((incarnation, _), suspect) in &self.records {
+            if let Some(suspected) = suspect.parts.iter().find(|known| known.part == part) {
+                let crash = Crash {
+                    answers: suspected.answers,
+                    ..suspect.crash()
+                };
+                let known = crashes.entry(*incarnation).or_insert(crash);
+                known.crashed_at = known.crashed_at.min(crash.crashed_at);
+                known.sent_at = known.sent_at.max(crash.sent_at);
+                known.run_events = known.run_events.max(crash.run_events);
+                known.answers = known.answers.max(crash.answers);
             }
         }
         crashes
@@ -467,15 +555,13 @@
     fn inseparable_parts(
         &self,
         part: PromptPart,
-        crashes: &BTreeMap<EndpointIncarnation, CrashTimes>,
+        crashes: &BTreeMap<EndpointIncarnation, Crash>,
     ) -> Option<Vec<PromptPart>> {
         let with_part = self
-            .0
+            .records
             .values()
-            .filter(|suspect| suspect.parts.contains(&part));
-        let companions: BTreeSet<_> = with_part
-            .flat_map(|suspect| suspect.parts.iter().copied())
-            .collect();
+            .filter(|suspect| suspect.suspects_part(part));
+        let companions: BTreeSet<_> = with_part.flat_map(Suspect::parts).collect();
         let mut alike = Vec::new();
         for companion in companions {
             let its_crashes = self.crashes_with(companion);
@@ -491,40 +577,34 @@
     }
 }
 
-/// When an endpoint crashed, and when the last suspect of the crash had been sent to it.
-#[derive(Clone, Copy, Debug)]
-struct CrashTimes {
-    crashed_at: Moment,
-    sent_at: Moment,
-}
-
-/// Number of crashes each of whose suspects was sent after the crash before. Several endpoints that crash together, for
-/// another reason, count once: a part that many requests share may be in the requests that begin at all of them.
-fn consecutive_crashes(crashes: impl Iterator<Item = CrashTimes>) -> usize {
-    count_crashes(crashes, |times, last| times.sent_at >= last)
+/// Parts and requests that were in several crashes.
+#[derive(Debug, Default)]
+struct Recurrent {
+    parts: HashSet<PromptPart>,
+    requests: HashSet<Fingerprint>,
 }
 
-/// Number of crashes that don't belong to one event, also those of a request that comes again before its last run has crashed.
-fn separate_crashes(crashes: impl Iterator<Item = CrashTimes>) -> usize {
-    count_crashes(crashes, |times, last| {
-        times.sent_at >= last || times.crashed_at >= last + SEPARATE_CRASHES
-    })
+impl Recurrent {
+    /// Whether a record has something in common with another crash.
+    fn is_telling(&self, fingerprint: Fingerprint, suspect: &Suspect) -> bool {
+        let mut parts = suspect.parts.iter();
+        self.requests.contains(&fingerprint) || parts.any(|known| self.parts.contains(&known.part))
+    }
 }
 
-/// Counts crashes in the order of time, those that count after the last counted one.
-fn count_crashes(
-    crashes: impl Iterator<Item = CrashTimes>,
-    counts_after: impl Fn(&CrashTimes, Moment) -> bool,
-) -> usize {
-    let mut times: Vec<_> = crashes.collect();
-    times.sort_by_key(|times| times.crashed_at);
-    let mut last_counted: Option<Moment> = None;
-    let mut count = 0;
-    for times in times {
-        if last_counted.is_none_or(|last| counts_after(&times, last)) {
-            last_counted = Some(times.crashed_at);
-            count += 1;
+fn recurrent(records: &HashMap<(EndpointIncarnation, Fingerprint), Suspect>) -> Recurrent {
+    let mut parts = HashMap::new();
+    let mut requests = HashMap::new();
+    let mut recurrent = Recurrent::default();
+    for ((crash, fingerprint), suspect) in records {
+        for part in suspect.parts() {
+            if parts.entry(part).or_insert(crash) != &crash {
+                recurrent.parts.insert(part);
+            }
+        }
+        if !suspect.is_cleared && requests.entry(*fingerprint).or_insert(crash) != &crash {
+            recurrent.requests.insert(*fingerprint);
         }
     }
-    count
+    recurrent
 }
--- a/crates/camphorwall-direct/src/endpoints/poison_streams_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison_streams_tests.rs
@@ -1,4 +1,5 @@
-//! Plays streams at endpoints that crash: by a request that comes again and again, or by kills that no request causes.
+//! Plays streams at endpoints that crash: by a request that comes again and again, by a part of unlike prompts, or by kills that
+//! no request causes.
 
 use std::time::Duration;
 
@@ -7,7 +8,11 @@
 
 use crate::{
     configuration::EndpointIncarnation,
-    endpoints::poison::{BEGUN_EVENTS, Content, Fingerprint, Poison},
+    dialect::PromptPart,
+    endpoints::{
+        crash_evidence::BEGUN_EVENTS,
+        poison::{Content, Fingerprint, Poison},
+    },
     testing::at_ms,
 };
 
@@ -16,10 +21,23 @@
 const EVENT_MS: u64 = 100;
 const HARMFUL: Fingerprint = Fingerprint(66);
 
+/// Prompt parts: one that all requests share, and the first one of those that crash endpoints.
+const COMMON: u64 = 1;
+const HARMFUL_PART: u64 = 100;
+
 /// Time after the third crash from which on the block counts, and the attempts that may reach endpoints after that.
 const CONTACT_MS: u64 = 3_000;
 const ALLOWED_RETRIES: usize = 3;
 
+/// When a prompt part crashes its endpoint.
+#[derive(Clone, Copy, Debug)]
+enum Point {
+    /// After a number of events.
+    After(u32),
+    /// After a number of events that differs from request to request, up to this one.
+    UpTo(u32),
+}
+
 /// What crashes endpoints.
 #[derive(Clone, Copy, Debug)]
 enum Cause {
@@ -29,6 +47,13 @@
     Kills { count: usize, period_ms: u64 },
     /// Both, the harmful request with one event.
     Both { count: usize, period_ms: u64 },
+    /// A number of prompt parts, of which one is in a request at each period, no two alike, beside kills of one endpoint.
+    Parts {
+        count: u64,
+        point: Point,
+        period_ms: u64,
+        kills_ms: Option<u64>,
+    },
 }
 
 impl Cause {
@@ -36,7 +61,7 @@
         match self {
             Self::Request { after_events } => Some(after_events),
             Self::Both { .. } => Some(1),
-            Self::Kills { .. } => None,
+            Self::Kills { .. } | Self::Parts { .. } => None,
         }
     }
 
@@ -46,6 +71,10 @@
                 let is_due = now_ms > 3_000 && now_ms.is_multiple_of(period_ms);
                 if is_due { count } else { 0 }
             }
+            Self::Parts { kills_ms, .. } => {
+                let is_due = |period_ms| now_ms > 3_000 && now_ms.is_multiple_of(period_ms);
+                usize::from(kills_ms.is_some_and(is_due))
+            }
             Self::Request { .. } => 0,
         }
     }
@@ -53,7 +82,9 @@
 
 #[derive(Clone)]
 struct Stream {
-    fingerprint: Fingerprint,
+    content: Content,
+    /// Events after which it crashes its endpoint.
+    crashes_after: Option<u32>,
     endpoint: usize,
     sent_ms: u64,
     begins_ms: u64,
@@ -62,19 +93,34 @@
     is_resumable: bool,
 }
 
+impl Stream {
+    fn harmful_part(&self) -> Option<PromptPart> {
+        let mut parts = self.content.shared_parts.iter().copied();
+        parts.find(|part| (HARMFUL_PART..HARMFUL_PART + 10).contains(&part.0))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Totals {
-    harmful_sent_ms: Vec<u64>,
-    harmful_crashes_ms: Vec<u64>,
+    /// Harmful requests that were sent and crashes by them, by their first harmful part if they have one.
+    harmful_sent: Vec<(Option<PromptPart>, u64)>,
+    harmful_crashes: Vec<(Option<PromptPart>, u64)>,
     sound_sent: u32,
     sound_refused: u32,
 }
 
 impl Totals {
+    /// Harmful requests that were sent too late after a number of crashes by requests with the same part, or without one.
+    fn sent_late_after(&self, crashes: usize, part: Option<PromptPart>) -> usize {
+        let of_part = |known: &&(Option<PromptPart>, u64)| known.0 == part;
+        let last = self.harmful_crashes.iter().filter(of_part).nth(crashes - 1);
+        let sent = self.harmful_sent.iter().filter(of_part);
+        let is_late = |sent_ms: u64| last.is_some_and(|(_, at_ms)| sent_ms > at_ms + CONTACT_MS);
+        sent.filter(|(_, sent_ms)| is_late(*sent_ms)).count()
+    }
+
     fn late_retries(&self) -> usize {
-        let third = self.harmful_crashes_ms.get(2);
-        let is_late = |sent_ms: &&u64| third.is_some_and(|third| **sent_ms > third + CONTACT_MS);
-        self.harmful_sent_ms.iter().filter(is_late).count()
+        self.sent_late_after(3, None)
     }
 }
 
@@ -90,9 +136,8 @@
 impl World {
     /// Sends a stream unless its request is blocked.
     fn send(&mut self, mut stream: Stream, now_ms: u64) {
-        let content = content(stream.fingerprint);
-        let is_harmful = stream.fingerprint == HARMFUL;
-        let is_blocked = self.poison.block(&content, at_ms(now_ms)).is_some();
+        let is_harmful = stream.crashes_after.is_some();
+        let is_blocked = self.poison.block(&stream.content, at_ms(now_ms)).is_some();
         self.totals.sound_sent += u32::from(!is_harmful);
         if is_blocked {
             self.totals.sound_refused += u32::from(!is_harmful);
@@ -105,7 +150,8 @@
             return;
         }
         if is_harmful {
-            self.totals.harmful_sent_ms.push(now_ms);
+            let sent = (stream.harmful_part(), now_ms);
+            self.totals.harmful_sent.push(sent);
         }
         stream.endpoint = up[self.random.random_range(0..up.len())];
         stream.sent_ms = now_ms;
@@ -125,15 +171,15 @@
         self.streams = kept;
         for stream in &broken {
             let (crash, sent_at) = (EndpointIncarnation(self.crashes), at_ms(stream.sent_ms));
-            let (content, now) = (content(stream.fingerprint), at_ms(now_ms));
+            let (content, now) = (&stream.content, at_ms(now_ms));
             self.poison
-                .note_crash(crash, &content, stream.run_events, sent_at, now);
+                .note_crash(crash, content, stream.run_events, sent_at, now);
         }
         for mut stream in broken {
             if stream.is_resumable {
                 stream.left_events -= stream.run_events.min(stream.left_events - 1);
                 self.send(stream, now_ms + 30);
-            } else if stream.fingerprint != HARMFUL && self.random.random_bool(0.5) {
+            } else if stream.crashes_after.is_none() && self.random.random_bool(0.5) {
                 stream.left_events += stream.run_events;
                 self.send(stream, now_ms + 30);
             }
@@ -141,6 +187,7 @@
     }
 }
 
+/// A request without prompt parts that others share.
 fn content(fingerprint: Fingerprint) -> Content {
     Content {
         fingerprint,
@@ -148,6 +195,20 @@
     }
 }
 
+/// A sound stream, or one that crashes its endpoint after some events.
+fn stream(content: Content, left_events: u32, crashes_after: Option<u32>) -> Stream {
+    Stream {
+        content,
+        crashes_after,
+        endpoint: 0,
+        sent_ms: 0,
+        begins_ms: 0,
+        run_events: 0,
+        left_events,
+        is_resumable: false,
+    }
+}
+
 /// Plays 40 s with about sixty streams under way.
 fn play(seed: u64, cause: Cause) -> Totals {
     let mut world = World {
@@ -159,33 +220,53 @@
         totals: Totals::default(),
     };
     for now_ms in (0..40_000).step_by(10) {
-        let new_stream = |fingerprint, left_events, is_resumable| Stream {
-            fingerprint,
-            endpoint: 0,
-            sent_ms: 0,
-            begins_ms: 0,
-            run_events: 0,
-            left_events,
-            is_resumable,
-        };
         if world.random.random_bool(0.12) {
             let (events, is_resumable) = (
                 world.random.random_range(5..90),
                 world.random.random_bool(0.5),
             );
-            let fingerprint = Fingerprint(1_000 + now_ms);
-            world.send(new_stream(fingerprint, events, is_resumable), now_ms);
+            let mut content = content(Fingerprint(1_000 + now_ms));
+            if let Cause::Parts { .. } = cause {
+                let (few, many) = (world.random.random_range(2..9), 10_000 + now_ms / 100);
+                content.shared_parts = [COMMON, few, many].map(PromptPart).to_vec();
+            }
+            let sound = Stream {
+                is_resumable,
+                ..stream(content, events, None)
+            };
+            world.send(sound, now_ms);
         }
         let harmful_after = cause.harmful_after();
         if harmful_after.is_some() && now_ms > 2_000 && now_ms.is_multiple_of(1_600) {
-            world.send(new_stream(HARMFUL, 1_000, false), now_ms);
+            world.send(stream(content(HARMFUL), 1_000, harmful_after), now_ms);
+        }
+        if let Cause::Parts {
+            count,
+            point,
+            period_ms,
+            ..
+        } = cause
+            && now_ms > 2_000
+            && now_ms.is_multiple_of(period_ms)
+        {
+            let harmful = HARMFUL_PART + world.random.random_range(0..count);
+            let mut content = content(Fingerprint(1_000_000 + now_ms));
+            let few = world.random.random_range(2..9);
+            content.shared_parts = [COMMON, harmful, few].map(PromptPart).to_vec();
+            let after = match point {
+                Point::After(events) => events,
+                Point::UpTo(events) => world.random.random_range(0..=events),
+            };
+            world.send(stream(content, 1_000, Some(after)), now_ms);
         }
         let mut crashing = Vec::new();
         for stream in &mut world.streams {
             let is_due =
                 now_ms >= stream.begins_ms && (now_ms - stream.begins_ms).is_multiple_of(EVENT_MS);
-            if stream.fingerprint == HARMFUL && harmful_after == Some(stream.run_events) && is_due {
+            if stream.crashes_after == Some(stream.run_events) && is_due {
                 crashing.push(stream.endpoint);
+                let crash = (stream.harmful_part(), now_ms);
+                world.totals.harmful_crashes.push(crash);
             } else if is_due {
                 stream.run_events += 1;
                 stream.left_events -= 1;
@@ -193,20 +274,16 @@
         }
         for stream in &world.streams {
             if stream.run_events == BEGUN_EVENTS || stream.left_events == 0 {
-                let (content, now) = (content(stream.fingerprint), at_ms(now_ms));
                 let sent_at = at_ms(stream.sent_ms);
                 world
                     .poison
-                    .note_under_way(content.fingerprint, sent_at, now);
+                    .note_under_way(stream.content.fingerprint, sent_at);
             }
             if stream.left_events == 0 {
-                world.poison.note_answer(stream.fingerprint, at_ms(now_ms));
+                world.poison.note_answer(&stream.content, stream.run_events);
             }
         }
         world.streams.retain(|stream| stream.left_events > 0);
-        for _ in &crashing {
-            world.totals.harmful_crashes_ms.push(now_ms);
-        }
         for _ in 0..cause.kills(now_ms) {
             crashing.push(world.random.random_range(0..ENDPOINTS));
         }
@@ -239,6 +316,44 @@
     }
 }
 
+/// Guards against a prompt part that crashes endpoint after endpoint and is never blocked, as the answers had begun, and against
+/// sound requests that are refused for the parts that they share with it.
+#[rstest]
+#[case::before_the_first_event(1, Point::After(0), 1_600, None)]
+#[case::after_the_first_event(1, Point::After(1), 600, None)]
+#[case::after_two_events(1, Point::After(2), 600, None)]
+#[case::after_some_events(1, Point::After(5), 1_600, None)]
+#[case::after_many_events(1, Point::After(40), 1_600, None)]
+#[case::at_points_that_differ(1, Point::UpTo(40), 1_600, None)]
+#[case::two_parts(2, Point::After(1), 600, None)]
+#[case::two_parts_at_points_that_differ(2, Point::UpTo(20), 1_000, None)]
+#[case::beside_kills(1, Point::After(1), 1_600, Some(2_500))]
+#[case::at_points_that_differ_beside_kills(1, Point::UpTo(20), 1_600, Some(2_500))]
+fn a_part_that_crashes_endpoints_is_blocked_whenever_it_does(
+    #[case] count: u64,
+    #[case] point: Point,
+    #[case] period_ms: u64,
+    #[case] kills_ms: Option<u64>,
+) {
+    let cause = Cause::Parts {
+        count,
+        point,
+        period_ms,
+        kills_ms,
+    };
+    let (mut refused, mut sent) = (0, 0);
+    for seed in 0..50 {
+        let totals = play(seed, cause);
+        for number in 0..count {
+            let late = totals.sent_late_after(5, Some(PromptPart(HARMFUL_PART + number)));
+            assert!(late <= ALLOWED_RETRIES, "seed {seed}: {late} sent late");
+        }
+        refused += totals.sound_refused;
+        sent += totals.sound_sent;
+    }
+    assert!(refused * 1_000 <= sent, "{refused} of {sent} refused");
+}
+
 /// Guards against sound requests that are blocked because endpoints were killed around them.
 #[rstest]
 #[case::one_after_another(Cause::Kills { count: 1, period_ms: 700 })]
--- a/crates/camphorwall-direct/src/endpoints/poison_tests.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison_tests.rs
@@ -71,7 +71,7 @@
     let mut poison = Poison::default();
     crash(&mut poison, 1, &request(), at_ms(1_000));
     crash(&mut poison, 2, &request(), at_ms(2_000));
-    poison.note_answer(REQUEST, at_ms(2_500));
+    poison.note_answer(&request(), 0);
     crash(&mut poison, 3, &request(), at_ms(3_000));
     assert!(!is_blocked(&poison, &request(), at_ms(3_000)));
 }
@@ -118,7 +118,7 @@
         assert!(!is_blocked(&poison, &with_parts(10, &sound), now));
     }
     // The answer to one request with the common part shows that it's the other one.
-    poison.note_begun(&with_parts(10, &[COMMON, 300]), at_ms(2_020), now);
+    poison.note_answer(&with_parts(10, &[COMMON, 300]), 0);
     let block = poison.block(&with_parts(11, &[HARMFUL, 400]), at_ms(2_100));
     assert_eq!(
         block.map(|block| block.cause),
@@ -131,7 +131,7 @@
     let mut poison = Poison::default();
     let harmful = |number| with_parts(number, &[HARMFUL]);
     let mut at = 0;
-    for (number, blocked_s) in [(0, 0), (1, 0), (2, 60), (3, 120), (4, 240), (5, 480)] {
+    for (number, blocked_s) in [(0, 0), (1, 0), (2, 60), (3, 240), (4, 960), (5, 3_840)] {
         crash(&mut poison, number, &harmful(number), at_ms(at));
         let last = at_ms(at + 1_000 * blocked_s);
         assert_eq!(is_blocked(&poison, &harmful(99), last), blocked_s > 0);
@@ -140,6 +140,55 @@
     }
 }
 
+/// Guards against a part whose few requests in an hour crash an endpoint each, as what is known of them is forgotten between them.
+#[test]
+fn few_requests_an_hour_with_a_harmful_part_crash_few_endpoints_in_a_day() {
+    let mut poison = Poison::default();
+    let mut crashes = 0;
+    for number in 0..72 {
+        let now = at_ms(1_000 + number * 20 * 60_000);
+        poison.report(now);
+        let harmful = with_parts(number, &[COMMON, HARMFUL]);
+        if is_blocked(&poison, &harmful, now) {
+            continue;
+        }
+        crash(&mut poison, number, &harmful, now);
+        poison.note_answer(&with_parts(10_000 + number, &[COMMON]), 40);
+        crashes += 1;
+    }
+    assert!(crashes <= 8, "{crashes} crashes");
+}
+
+/// Guards against a harmful part that is forgotten because many endpoints crash for other reasons.
+#[test]
+fn what_several_crashes_share_outlasts_a_flood_of_others() {
+    let mut poison = Poison::default();
+    let harmful = |number| with_parts(number, &[HARMFUL]);
+    for number in 0..5 {
+        crash(&mut poison, number, &harmful(number), at_ms(1_000 * number));
+    }
+    for number in 100..2_000 {
+        let other = with_parts(number, &[10_000 + number]);
+        crash(&mut poison, number, &other, at_ms(5_000 + number));
+    }
+    assert!(is_blocked(&poison, &harmful(99), at_ms(8_000)));
+}
+
+/// Guards against sound requests that share all parts with one that crashes endpoints in the middle of its answers.
+#[test]
+fn crashes_of_one_request_do_not_incriminate_its_parts() {
+    let mut poison = Poison::default();
+    let parts = [COMMON, 300];
+    for number in 0..6 {
+        let (sent_at, now) = (at_ms(1_000 * number), at_ms(1_000 * number + 500));
+        let crash = EndpointIncarnation(number);
+        poison.note_crash(crash, &content(REQUEST, &parts), 8, sent_at, now);
+    }
+    let now = at_ms(6_000);
+    assert!(is_blocked(&poison, &content(REQUEST, &parts), now));
+    assert!(!is_blocked(&poison, &with_parts(1, &parts), now));
+}
+
 #[test]
 fn a_common_part_is_not_blocked_when_many_endpoints_crash_together() {
     let mut poison = Poison::default();
@@ -187,7 +236,7 @@
     }
     let sound = with_parts(9, &[COMMON]);
     assert!(is_blocked(&second, &sound, at_ms(2_020)));
-    second.note_begun(&sound, at_ms(2_015), at_ms(2_030));
+    second.note_answer(&sound, 0);
     for suspect in second.report(at_ms(2_040)) {
         first.note_peer(suspect, at_ms(2_040));
     }
@@ -208,14 +257,14 @@
     harmful_refused: u32,
 }
 
-/// A request on its way: at `begins_ms` its answer begins, or it crashes its endpoint.
+/// A request on its way: at `ends_ms` it is answered, or it crashes its endpoint.
 struct Sent {
     content: Content,
     is_harmful: bool,
     entry: usize,
     endpoint: usize,
     left_ms: u64,
-    begins_ms: u64,
+    ends_ms: u64,
 }
 
 const ENTRIES: usize = 4;
@@ -256,18 +305,17 @@
                     entry,
                     endpoint,
                     left_ms: now_ms,
-                    begins_ms: now_ms + random.random_range(40..150),
+                    ends_ms: now_ms + random.random_range(40..150),
                 }),
             }
         }
         let mut failing = (now_ms % 3_000 == 2_999).then(|| random.random_range(0..ENDPOINTS));
-        for request in sent.iter().filter(|request| request.begins_ms == now_ms) {
+        for request in sent.iter().filter(|request| request.ends_ms == now_ms) {
             if request.is_harmful {
                 failing = Some(request.endpoint);
                 totals.crashes += 1;
             } else {
-                let poison = &mut entries[request.entry];
-                poison.note_begun(&request.content, at_ms(request.left_ms), now);
+                entries[request.entry].note_answer(&request.content, 0);
             }
         }
         if let Some(endpoint) = failing {
@@ -282,7 +330,7 @@
             }
             sent.retain(|request| request.endpoint != endpoint);
         }
-        sent.retain(|request| request.begins_ms > now_ms);
+        sent.retain(|request| request.ends_ms > now_ms);
         if now_ms % REPORT_PERIOD_MS == 0 {
             for from in 0..ENTRIES {
                 let reports: Vec<ReportedSuspect> = entries[from].report(now);
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -306,7 +306,7 @@
     if !parts.status.is_server_error() {
         entry.suspicions.borrow_mut().note_success(&endpoint, now);
         if start.is_complete {
-            note_answered(entry, admitted, sent_at);
+            note_answered(entry, admitted);
         }
     }
     remove_connection_headers(&mut parts.headers);
@@ -348,11 +348,9 @@
 }
 
 /// Records a whole answer, which shows that the request is harmless.
-fn note_answered(entry: &Entry, admitted: &Admitted, sent_at: Moment) {
-    let now = Moment::now();
+fn note_answered(entry: &Entry, admitted: &Admitted) {
     let mut poison = entry.poison.borrow_mut();
-    poison.note_begun(&admitted.content, sent_at, now);
-    poison.note_answer(admitted.content.fingerprint, now);
+    poison.note_answer(&admitted.content, BROKEN_ANSWER_EVENTS);
 }
 
 /// A body that keeps its memory reserved until it has been sent.
@@ -388,7 +386,7 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 if self.is_success {
-                    note_answered(&self.entry, &self.admitted, self.sent_at);
+                    note_answered(&self.entry, &self.admitted);
                 }
                 self.admitted.request_log.end(200, RequestEnd::Answered, 0);
             }
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -21,7 +21,7 @@
     connection_headers::remove_connection_headers,
     endpoints::{
         cold_limit::no_endpoint,
-        poison::BEGUN_EVENTS,
+        crash_evidence::BEGUN_EVENTS,
         stall::{Pauses, has_stood_still},
     },
     entry::Entry,
@@ -586,7 +586,7 @@
                     let earlier_events = self.run_events;
                     self.events = self.events.saturating_add(events.count);
                     self.run_events = self.run_events.saturating_add(events.count);
-                    self.note_run(earlier_events, now);
+                    self.note_run(earlier_events);
                     if let Some(time) = self.decode_timer.note_events(events.count, now) {
                         self.note_event_time(time, now);
                     }
@@ -669,15 +669,12 @@
             .note_expected_time(Stage::Decode, times.0, times.1);
     }
 
-    /// Clears the request and its prompt parts of earlier crashes once the answer has passed that point.
-    fn note_run(&self, earlier_events: u32, now: Moment) {
-        let (content, sent_at) = (&self.admitted.content, self.sent_at);
-        let mut poison = self.entry.poison.borrow_mut();
-        if earlier_events == 0 {
-            poison.note_begun(content, sent_at, now);
-        }
+    /// Clears the request of earlier crashes at the beginning of its answer once the answer has passed that point.
+    fn note_run(&self, earlier_events: u32) {
         if (earlier_events..self.run_events).contains(&(BEGUN_EVENTS - 1)) {
-            poison.note_under_way(content.fingerprint, sent_at, now);
+            let fingerprint = self.admitted.content.fingerprint;
+            let mut poison = self.entry.poison.borrow_mut();
+            poison.note_under_way(fingerprint, self.sent_at);
         }
     }
 
@@ -702,14 +699,16 @@
             let mut suspicions = self.entry.suspicions.borrow_mut();
             suspicions.note_success(&placement.endpoint.id, Moment::now());
         }
+        let content = &self.admitted.content;
         let mut poison = self.entry.poison.borrow_mut();
-        poison.note_answer(self.admitted.content.fingerprint, Moment::now());
-        drop(poison);
         let outcome = if self.status.is_success() {
+            poison.note_answer(content, self.run_events);
             RequestEnd::Answered
         } else {
+            poison.note_end(content.fingerprint);
             RequestEnd::EndpointFailed
         };
+        drop(poison);
         self.log_end(outcome);
     }
 
