Pause between calls to the store that succeed and bring nothing

An entry of a store that answers each watch with 410 listed the evacuations and watched again without a pause, which takes the store's rate from the whole fleet.

Cause: loops paused after failed calls and after changes only. A list that confirms the known revision, and a 410, count as neither.

Change: the evacuations pause before they are listed again. Updates that bring nothing are followed by the next call no sooner than 50 ms after the last, and a second lost history without a watch between by a list after 100 ms; the first one is listed at once as before.

--- a/crates/camphorwall-direct/src/store/evacuations.rs
+++ b/crates/camphorwall-direct/src/store/evacuations.rs
@@ -49,7 +49,10 @@
                     compio::time::sleep(CHANGES_PAUSE).await;
                 }
             }
-            Err(StoreError::HistoryDiscarded | StoreError::Restored) => is_list_needed = true,
+            Err(StoreError::HistoryDiscarded | StoreError::Restored) => {
+                is_list_needed = true;
+                compio::time::sleep(CHANGES_PAUSE).await;
+            }
             Err(error) => {
                 if !has_failed {
                     tracing::warn!(event = "evacuations_not_read", %error);
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -26,7 +26,7 @@
 /// newest is renewed. A dead connection is detected after this time plus the call's timeout.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Pause after changes, so that several in quick succession arrive in one answer.
+/// Pause after changes, so that several in quick succession arrive in one answer, and minimum period of calls that bring none.
 pub(crate) const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 
 /// Long-poll timeout of a call that should be answered at once.
@@ -100,6 +100,8 @@
 pub(crate) async fn follow(entry: Rc<Entry>) {
     let mut revision: Option<StoreRevision> = None;
     let mut is_store_unreachable = false;
+    // Whether a watch has succeeded since the store last discarded its history.
+    let mut is_history_kept = true;
     loop {
         // Another call may have learned that the store was restored; changes since an earlier era would be incomplete.
         let era = entry.store_era.get();
@@ -132,29 +134,26 @@
                     tracing::info!(event = "store_regained", revision = %update.revision);
                 }
                 is_store_unreachable = false;
-                if revision != Some(update.revision) {
+                let mut pause = CHANGES_PAUSE;
+                if revision == Some(update.revision) {
+                    pause = pause.saturating_sub(Moment::now().since(called_at));
+                } else {
                     entry.placement_queue.notify();
-                    compio::time::sleep(CHANGES_PAUSE).await;
                 }
+                is_history_kept |= revision.is_some();
                 revision = Some(update.revision);
+                if !pause.is_zero() {
+                    compio::time::sleep(pause).await;
+                }
             }
             (Err(StoreError::HistoryDiscarded), Source::Neighbour(_))
             | (Err(StoreError::Restored), _) => revision = None,
             (Err(StoreError::HistoryDiscarded), Source::Store) => {
-                let now = Moment::now();
-                let confirmed_to = entry.tracker.borrow().confirmed_to();
-                tracing::info!(
-                    event = "store_history_lost",
-                    after = revision.map(|revision| revision.number),
-                    configuration_confirmed_to = confirmed_to.map(|known| known.number),
-                );
-                let mut registry = entry.registry.borrow_mut();
-                registry.contact.note_answer(called_at, WATCH_WAIT, now);
-                drop(registry);
-                // A change of the configuration may be among the lost ones.
-                entry.tracker.borrow_mut().doubt(now);
-                entry.configuration_wanted.notify();
+                note_history_lost(&entry, revision, called_at);
                 revision = None;
+                if !std::mem::replace(&mut is_history_kept, false) {
+                    compio::time::sleep(RETRY_PAUSE).await;
+                }
             }
             (Err(error), Source::Neighbour(reader)) if revision.is_some() => {
                 tracing::info!(event = "store_reader_failed", %reader, %error);
@@ -187,6 +186,21 @@
     registry.contact.note_answer(sent_at, wait, Moment::now());
 }
 
+/// Records that the store answered a watch after a revision by saying that it has discarded the changes.
+fn note_history_lost(entry: &Entry, revision: Option<StoreRevision>, sent_at: Moment) {
+    let now = Moment::now();
+    let mut tracker = entry.tracker.borrow_mut();
+    tracing::info!(
+        event = "store_history_lost",
+        after = revision.map(|revision| revision.number),
+        configuration_confirmed_to = tracker.confirmed_to().map(|known| known.number),
+    );
+    note_store_answer(entry, sent_at, WATCH_WAIT);
+    // A change of the configuration may be among the lost ones.
+    tracker.doubt(now);
+    entry.configuration_wanted.notify();
+}
+
 fn drop_expired(entry: &Entry) {
     let expired = entry.registry.borrow_mut().drop_expired(Moment::now());
     for endpoint in expired {
