Give followers that are far behind all registrations

A follower that lacks removals which its reader has dropped was answered 410 and had to list the store itself. With its own way to the store cut, it got no news of endpoints and configurations until that way was back, although its reader had them.

Change: the reader answers with all registrations, as it does to a follower of another era.

--- a/crates/camphorwall-direct/src/store/mirror.rs
+++ b/crates/camphorwall-direct/src/store/mirror.rs
@@ -10,7 +10,7 @@
     dialect::{StoreItem, StoreRevision},
 };
 
-/// Maximum number of removals that are kept. A follower that lacks an older one lists the store.
+/// Maximum number of removals that are kept. A follower that lacks an older one gets all registrations.
 const MAX_REMOVALS: usize = 256;
 
 /// One registration as it was written, or its removal.
--- a/crates/camphorwall-direct/src/store/relay.rs
+++ b/crates/camphorwall-direct/src/store/relay.rs
@@ -26,7 +26,8 @@
     /// Revision of the store up to which the response contains all changes of registrations.
     pub(crate) revision: StoreRevision,
     pub(crate) items: Vec<ChangedItem>,
-    /// Whether the items are all registrations, because the follower's revision is of another era.
+    /// Whether the items are all registrations, because the follower's revision is of another era, or the reader no longer
+    /// has all removals since.
     pub(crate) is_complete: bool,
     /// Time since the reader last knew that these were all changes.
     pub(crate) age_ms: u32,
@@ -169,15 +170,10 @@
     else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     };
-    let is_complete = after.era != mirror.revision().era;
-    let items = if is_complete {
-        Some(mirror.registered())
-    } else {
-        mirror.changes(after)
-    };
-    let Some(items) = items else {
-        return refuse(StatusCode::GONE);
-    };
+    let is_of_era = after.era == mirror.revision().era;
+    let changes = mirror.changes(after).filter(|_| is_of_era);
+    let is_complete = changes.is_none();
+    let items = changes.unwrap_or_else(|| mirror.registered());
     let registry = entry.registry.borrow();
     let contact = &registry.contact;
     let (Some(evacuations), Some(evacuations_age)) =
--- a/crates/camphorwall-direct/src/store/relay_tests.rs
+++ b/crates/camphorwall-direct/src/store/relay_tests.rs
@@ -131,6 +131,30 @@
     assert!(follower_proof.expect("a proof") >= proof);
 }
 
+/// Guards against a follower that gets no news any more: it lacks removals that its reader has dropped, and can't list the store
+/// itself.
+#[compio::test]
+async fn a_follower_that_is_far_behind_gets_all_registrations_of_its_reader() {
+    let (reader, address, _stop) = reader(Duration::ZERO).await;
+    for number in 0..1_000 {
+        let gone = StoreItem {
+            key: format!("endpoints/gone-{number}").into(),
+            value: None,
+            revision: (5 + number).into(),
+        };
+        reader.mirror.borrow_mut().note_registration(&gone);
+    }
+    register(&reader, 2_000);
+    assert!(reader.mirror.borrow().changes(5).is_none());
+    let follower = entry_with_empty_dialect();
+    let update = follow_reader(&follower, address, 5).await;
+    let Ok(update) = update else {
+        panic!("the reader did not answer")
+    };
+    assert_eq!(update.revision, 2_000.into());
+    assert_eq!(follower.mirror.borrow().registered().len(), 1);
+}
+
 /// A configuration with these keys of one team.
 fn keyed(version: u64, keys: &[&str]) -> Configuration {
     let team = Rc::new(team(1.0, 1.0));
