Wait at a planned stop until answers have been sent

Cause: a request counted as active until its answer had been handed to the HTTP library, which had still to write most of it. Connections were cut 300 ms after the last active request.

Change: connections know whether bytes are unsent and when the socket last took some. A stop waits for unsent answers too, within the shutdown time, but not for a caller that has taken nothing for 3 s.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use camphorwall::{BoxedBody, LogRing, Stop, StopHandle, TaskGroup, empty_body, stop_pair};
+use camphorwall::{
+    BoxedBody, LogRing, OpenConnections, Stop, StopHandle, TaskGroup, empty_body, stop_pair,
+};
 use http::StatusCode;
 use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
@@ -72,7 +74,10 @@
 /// Factor by which a stream's length is assumed to exceed its estimate.
 const LENGTH_MARGIN: f64 = 1.3;
 
-/// How often a stopping entry checks whether its requests have ended.
+/// Time after which a stopping entry no longer waits for a caller that takes nothing of its answer.
+const CALLER_PATIENCE: Duration = Duration::from_secs(3);
+
+/// How often a stopping entry checks whether its requests have ended and their answers have been sent.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
 /// Phase of an entry's life; each shutdown passes through them in this order.
@@ -144,6 +149,7 @@
     /// Moving average of the time that a stream takes for one token.
     time_per_token: Cell<Option<Duration>>,
     pub(crate) active_requests: Cell<usize>,
+    pub(crate) caller_connections: OpenConnections,
 }
 
 /// Counts a request as active until it is dropped.
@@ -241,6 +247,7 @@
             end,
             time_per_token: Cell::new(None),
             active_requests: Cell::new(0),
+            caller_connections: OpenConnections::default(),
         })
     }
 
@@ -612,8 +619,14 @@
         self.settings().bounds.key_withdrawal() + PEER_MARGIN
     }
 
-    /// Passes through the phases of the shutdown; returns once no request is active or the shutdown time has passed. The
-    /// requests that are left then get their final answers.
+    /// Whether a request is active, or its answer is still being sent.
+    fn has_work(&self) -> bool {
+        let unsent = self.caller_connections.unsent_answers(CALLER_PATIENCE);
+        self.active_requests.get() > 0 || unsent > 0
+    }
+
+    /// Passes through the phases of the shutdown; returns once no request is active and all answers have been sent, or the
+    /// shutdown time has passed. The requests that are left then get their final answers.
     pub(crate) async fn leave(&self) {
         let deadline = Moment::now()
             + self
@@ -625,7 +638,7 @@
         self.phase.set(LifecyclePhase::Leaving);
         compio::time::sleep(LEAVE_GRACE).await;
         self.phase.set(LifecyclePhase::Ending);
-        while self.active_requests.get() > 0 && Moment::now() < deadline {
+        while self.has_work() && Moment::now() < deadline {
             if Moment::now() + PLAIN_REQUEST_TIME >= deadline {
                 self.phase.set(LifecyclePhase::Refusing);
             }
--- a/crates/camphorwall-direct/src/serve/run.rs
+++ b/crates/camphorwall-direct/src/serve/run.rs
@@ -107,6 +107,7 @@
             let memory = lending.memory.reserve_first(bytes, Moment::now())?;
             Some(Box::new(memory))
         }),
+        open: entry.caller_connections.clone(),
     }
 }
 
@@ -195,7 +196,12 @@
             ControlCommand::Stop => break,
         }
     }
-    tracing::info!(event = "stopping", requests = entry.active_requests.get());
+    let unsent = || entry.caller_connections.unsent_answers(Duration::MAX);
+    tracing::info!(
+        event = "stopping",
+        requests = entry.active_requests.get(),
+        unsent_answers = unsent(),
+    );
     entry.leave().await;
     stop.stop();
     peers::send_goodbye(&entry, &socket).await;
@@ -203,6 +209,7 @@
     tracing::info!(
         event = "stopped",
         requests = entry.active_requests.get(),
+        unsent_answers = unsent(),
         is_whole = joined.is_ok()
     );
     servers.abort();
--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -239,6 +239,8 @@
     pub limits: Box<dyn Fn() -> HttpLimits>,
     /// Reserves memory for a connection or a large head.
     pub reserve: ReserveMemory,
+    /// Receives the connections that are open.
+    pub open: OpenConnections,
 }
 
 /// An open connection, as the server sees it.
@@ -275,11 +277,23 @@
     }
 }
 
-/// The open connections of a server, the oldest first.
-#[derive(Default)]
-struct OpenConnections(RefCell<Vec<Rc<OpenConnection>>>);
+/// The open connections of a server, the oldest first; clones share them.
+#[derive(Clone, Default)]
+pub struct OpenConnections(Rc<RefCell<Vec<Rc<OpenConnection>>>>);
 
 impl OpenConnections {
+    /// Number of connections whose peers are still taking bytes of an answer. One that has taken none for `patience` doesn't
+    /// count.
+    #[must_use]
+    pub fn unsent_answers(&self, patience: Duration) -> usize {
+        let open = self.0.borrow();
+        let is_sending = |one: &&Rc<OpenConnection>| {
+            let unsent_for = one.meter.unsent_for();
+            unsent_for.is_some_and(|time| time < patience)
+        };
+        open.iter().filter(is_sending).count()
+    }
+
     fn count(&self) -> usize {
         let open = self.0.borrow();
         open.iter().filter(|one| !one.is_closing.get()).count()
@@ -318,6 +332,7 @@
         let bounds = ConnectionBounds {
             limits: Box::new(move || limits),
             reserve: Rc::new(|_| Some(Box::new(()))),
+            open: OpenConnections::default(),
         };
         self.serve_within(handler, stop, bounds).await;
     }
@@ -329,7 +344,7 @@
         F: Future<Output = Response<BoxedBody>> + 'static,
     {
         let handler = Rc::new(handler);
-        let open = Rc::new(OpenConnections::default());
+        let open = bounds.open.clone();
         let mut connections = FuturesUnordered::new();
         let mut incoming = self.listener.incoming().fuse();
         let mut stopped = pin!(stop.called().fuse());
@@ -360,7 +375,7 @@
                     });
                     open.0.borrow_mut().push(Rc::clone(&connection));
                     let (handler, stop) = (Rc::clone(&handler), stop.clone());
-                    let open = Rc::clone(&open);
+                    let open = open.clone();
                     connections.push(compio::runtime::spawn(async move {
                         serve_connection(stream, &connection, handler, limits, [stop, closing])
                             .await;
--- a/crates/camphorwall/src/lib.rs
+++ b/crates/camphorwall/src/lib.rs
@@ -27,9 +27,9 @@
 };
 pub use files::{FileError, document_files, read_json_with_comments};
 pub use http::{
-    BodyEnd, BoxedBody, CONNECTION_BYTES, ConnectionBounds, HttpLimits, HttpServer, RequestBody,
-    Stop, StopHandle, collect_body, empty_body, full_body, json_response, read_body,
-    set_socket_buffers, stop_pair, stream_body,
+    BodyEnd, BoxedBody, CONNECTION_BYTES, ConnectionBounds, HttpLimits, HttpServer,
+    OpenConnections, RequestBody, Stop, StopHandle, collect_body, empty_body, full_body,
+    json_response, read_body, set_socket_buffers, stop_pair, stream_body,
 };
 pub use ids::{
     AdapterId, DataCentreId, EndpointId, IdError, InstanceId, KeyDigest, ModelId, ModelVersion,
--- a/crates/camphorwall/src/read_meter.rs
+++ b/crates/camphorwall/src/read_meter.rs
@@ -12,7 +12,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use compio::net::TcpStream;
@@ -57,6 +57,8 @@
     turn_bytes: Cell<usize>,
     /// Whether bytes that were to be written have not reached the socket, or could not be written.
     has_unsent_bytes: Cell<bool>,
+    /// When the socket last took some of them, or the first were to be written.
+    written_at: Cell<Option<Instant>>,
     heads: Option<Heads>,
 }
 
@@ -174,6 +176,13 @@
         !self.0.has_unsent_bytes.get()
     }
 
+    /// Time since the socket last took some of the bytes that are to be written; `None` if it has taken them all.
+    #[must_use]
+    pub fn unsent_for(&self) -> Option<Duration> {
+        let written_at = self.0.written_at.get()?;
+        (!self.has_sent_all()).then(|| written_at.elapsed())
+    }
+
     fn note_received(&self, bytes: usize) {
         let counters = &self.0;
         counters
@@ -271,9 +280,13 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.meter.0.has_unsent_bytes.set(true);
+        let had_unsent_bytes = self.meter.0.has_unsent_bytes.replace(true);
         let bytes = &bytes[..bytes.len().min(WRITE_BYTES)];
-        Write::poll_write(Pin::new(&mut self.stream), context, bytes)
+        let polled = Write::poll_write(Pin::new(&mut self.stream), context, bytes);
+        if polled.is_ready() || !had_unsent_bytes {
+            self.meter.0.written_at.set(Some(Instant::now()));
+        }
+        polled
     }
 
     fn poll_write_vectored(
