Leave a reader when its news of the store are overdue

Cause: an answer counted as news if its age was under 2 s. A reader that no longer hears of the store answers after 1.5 s with news of that age, so that the follower asked it twice, 3.0 s in all.

Change: the age of the news decides. They are overdue 1.65 s after the last ones arrived at the latest, and later news of a slow store correspondingly; calls to a reader end by then, and another reader or the store is asked at once. Readers renew news that are 1.5 s old also while they read a configuration.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -43,7 +43,9 @@
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::Sampler,
     settings::DirectSettings,
-    store::{ConfigurationTracker, ParsedRoutes, RecentConfigurations, StoreMirror, centre_key},
+    store::{
+        ConfigurationTracker, NewsAges, ParsedRoutes, RecentConfigurations, StoreMirror, centre_key,
+    },
     upstream::{Connection, SendError},
 };
 
@@ -110,6 +112,7 @@
     pub(crate) recent: RefCell<RecentConfigurations>,
     /// Copy of the store's registrations for the entries that follow this one.
     pub(crate) mirror: RefCell<StoreMirror>,
+    pub(crate) news_ages: RefCell<NewsAges>,
     /// Whether this entry reads the store itself.
     pub(crate) reads_store: Cell<bool>,
     /// Whether a watch of all keys of the store waits for changes.
@@ -216,6 +219,7 @@
             parsed_routes: RefCell::default(),
             recent: RefCell::default(),
             mirror: RefCell::default(),
+            news_ages: RefCell::default(),
             reads_store: Cell::new(false),
             store_era: Cell::new(None),
             quotas: RefCell::new(Quotas::new(Moment::now())),
--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -14,7 +14,7 @@
 
 /// Timeout of a reader's own work on a follower's call, beyond the wait for changes, and of each further part of its
 /// answer.
-const READER_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const READER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Minimum rate of an answer's body on average, beyond its first silence timeout. The slowest links of an instance are
 /// over a hundred times as fast; a sender of single bytes would never be silent.
@@ -107,15 +107,15 @@
     Ok(body)
 }
 
-/// Calls a reader, which may hold the call for a time.
+/// Calls a reader, which may hold the call for a time that `head_timeout` includes.
 pub(super) async fn call_reader(
     entry: &Entry,
     reader: SocketAddr,
     path: &str,
-    wait: Duration,
+    head_timeout: Duration,
 ) -> Result<CallBody, StoreError> {
     let limits = CallLimits {
-        head_timeout: wait + READER_TIMEOUT,
+        head_timeout,
         silence_timeout: READER_TIMEOUT,
         max_bytes: usize::MAX,
     };
--- a/crates/camphorwall-direct/src/store/configuration.rs
+++ b/crates/camphorwall-direct/src/store/configuration.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::{
-    call::{StoreError, call_reader},
+    call::{READER_TIMEOUT, StoreError, call_reader},
     era::enter_era,
     evacuations::apply_listed,
     follow::{RETRY_PAUSE, choose_source, list},
@@ -101,7 +101,7 @@
         )
     };
     let path = relay::configuration_path(after, READER_WAIT);
-    let body = call_reader(entry, reader, &path, READER_WAIT).await?;
+    let body = call_reader(entry, reader, &path, READER_WAIT + READER_TIMEOUT).await?;
     let unreadable = |error: postcard::Error| StoreError::Failed(error.to_string());
     let (head, change) =
         postcard::take_from_bytes::<ConfigurationHead>(&body.bytes).map_err(unreadable)?;
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -7,7 +7,7 @@
 use futures_util::future::{self, Either};
 
 use super::{
-    call::{StoreError, call_reader, call_store, call_store_with},
+    call::{READER_TIMEOUT, StoreError, call_reader, call_store, call_store_with},
     configuration::apply_configuration,
     era::enter_era,
     evacuations::{apply_evacuated, apply_evacuation, note_watched_all},
@@ -36,6 +36,9 @@
 /// flood a reader that has no newer proof.
 const STALE_WAIT: Duration = Duration::from_millis(100);
 
+/// Timeout of an answer of a reader whose news are overdue. The change that is in them must be known 2 s after it was written.
+const OVERDUE_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
 
@@ -297,7 +300,8 @@
             })
         }
         None => {
-            let watching = pin!(watch_endpoints(entry, revision, WATCH_WAIT));
+            let age = entry.mirror.borrow().age(Moment::now());
+            let watching = pin!(watch_endpoints(entry, revision, proof_wait(age)));
             let read = pin!(entry.configuration_read.notified());
             match future::select(watching, read).await {
                 Either::Left((update, _)) => update,
@@ -318,8 +322,8 @@
     let wait = if entry.registry.borrow().contact.is_failing() {
         NO_WAIT
     } else if !entry.tracker.borrow().may_prove() {
-        // Nothing is proved before the next configuration comes.
-        WATCH_WAIT
+        // Nothing is proved before the next configuration comes, but followers need news of the endpoints.
+        proof_wait(entry.mirror.borrow().age(sent_at))
     } else {
         proof_wait(entry.registry.borrow().proof_age(sent_at))
     };
@@ -409,9 +413,14 @@
     } else {
         STALE_WAIT
     };
+    let limit = entry.news_ages.borrow().limit();
+    let age = entry.mirror.borrow().age(sent_at).unwrap_or_default();
+    let due_in = limit.saturating_sub(age);
+    let wait = wait.min(due_in).max(NO_WAIT);
+    let head_timeout = (wait + READER_TIMEOUT).min(due_in + OVERDUE_ANSWER_TIMEOUT);
     let evacuations_known = entry.registry.borrow().evacuations.revision();
     let path = relay::changes_path(after, evacuations_known.unwrap_or(0), wait);
-    let body = call_reader(entry, reader, &path, wait).await?;
+    let body = call_reader(entry, reader, &path, head_timeout).await?;
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
     enter_era(entry, response.revision.era)?;
@@ -447,11 +456,15 @@
         .evacuations
         .advance(known_revision, Some(evacuations_known_to));
     drop(registry);
-    let age_ms = response.age_ms.max(response.evacuations_age_ms);
-    if age_ms > ceil_ms(STALE_PROOF_AGE) {
-        let error = format!("the reader's knowledge is {age_ms} ms old");
+    let news_age = received_at.since(known_to);
+    if news_age > limit || response.evacuations_age_ms > ceil_ms(STALE_PROOF_AGE) {
+        let error = format!(
+            "the reader's knowledge is {news_age:?} old, up to {limit:?} are usual, and that of evacuations {} ms",
+            response.evacuations_age_ms
+        );
         return Err(StoreError::Failed(error));
     }
+    entry.news_ages.borrow_mut().note(news_age);
     let reported = &response.configuration;
     note_reported_configuration(entry, reported, moment(reported.proof_age_ms));
     Ok(StoreUpdate {
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod follow;
 mod mirror;
+mod news;
 mod readers;
 mod recent;
 mod relay;
@@ -21,6 +22,8 @@
 #[cfg(test)]
 mod mirror_tests;
 #[cfg(test)]
+mod news_tests;
+#[cfg(test)]
 mod readers_tests;
 #[cfg(test)]
 mod relay_tests;
@@ -31,6 +34,7 @@
 pub(crate) use evacuations::follow_evacuations;
 pub(crate) use follow::follow;
 pub(crate) use mirror::StoreMirror;
+pub(crate) use news::NewsAges;
 pub(crate) use readers::{CentreKey, Neighbour, centre_key};
 pub(crate) use recent::RecentConfigurations;
 pub(crate) use relay::answer_follower;
