End blocks by single trials instead of at a date

Cause: a block ended at a moment, the same at all entries. That time had passed was taken for evidence that replicas bear the request.

In trials_tests.rs with trials that any entry may begin at any time after the block, as before, 18 to 27 copies are sent too late (4 of 9 cases fail).

Change: after a block's time a request is tried: once, without retries, by one entry in the first 15 s, two in the next, then four. What it shares with the crashes is free when its answer has ended; another crash makes the block four times as long, for whole requests too. Copies that run at the same time and crash endpoints more than 50 ms apart count from five on, and entries agree on the last run at an endpoint.

--- a/crates/camphorwall-direct/src/endpoints/crash_evidence.rs
+++ b/crates/camphorwall-direct/src/endpoints/crash_evidence.rs
@@ -16,6 +16,9 @@
 /// Time within which crashes of several endpoints count as one event.
 pub(super) const SAME_MOMENT: Duration = Duration::from_millis(100);
 
+/// Time between two crashes from which on they didn't happen for one reason outside the endpoints, such as a loss of power.
+const DISTINCT_CRASHES: Duration = Duration::from_millis(50);
+
 /// Time between two crashes from which on both count against a request although its second run began before the first crash.
 const SEPARATE_CRASHES: Duration = Duration::from_millis(500);
 
@@ -87,11 +90,27 @@
     })
 }
 
+/// Number of crashes that didn't happen for one reason outside the endpoints.
+pub(super) fn distinct_crashes(crashes: impl Iterator<Item = Crash>) -> usize {
+    count_crashes(crashes, |crash, last| {
+        crash.crashed_at > last + DISTINCT_CRASHES
+    })
+}
+
 /// Number of crashes that didn't happen at the same moment.
 pub(super) fn separate_events(crashes: impl Iterator<Item = Crash>) -> usize {
     count_crashes(crashes, |crash, last| crash.crashed_at > last + SAME_MOMENT)
 }
 
+/// Number of times that crashes began again after a pause.
+pub(super) fn crash_rounds(crashes: impl Iterator<Item = Crash>, pause: Duration) -> usize {
+    let mut crashes: Vec<_> = crashes.collect();
+    crashes.sort_by_key(|crash| crash.crashed_at);
+    let pairs = crashes.windows(2);
+    let pauses = pairs.filter(|pair| pair[1].sent_at >= pair[0].crashed_at + pause);
+    pauses.count() + usize::from(!crashes.is_empty())
+}
+
 /// Counts crashes in the order of time, those that count after the last counted one.
 fn count_crashes(
     crashes: impl Iterator<Item = Crash>,
--- a/crates/camphorwall-direct/src/endpoints/mod.rs
+++ b/crates/camphorwall-direct/src/endpoints/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod stall;
 pub(crate) mod store_contact;
 pub(crate) mod suspicion;
+pub(crate) mod trials;
 
 #[cfg(test)]
 mod cold_history_tests;
@@ -34,3 +35,5 @@
 mod store_contact_tests;
 #[cfg(test)]
 mod suspicion_tests;
+#[cfg(test)]
+mod trials_tests;
--- a/crates/camphorwall-direct/src/endpoints/poison.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison.rs
@@ -14,10 +14,11 @@
 };
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::crash_evidence::{
-    BEGUN_EVENTS, Crash, MIN_CRASHES, PartEvidence, SAME_MOMENT, consecutive_crashes,
-    separate_crashes, separate_events,
+    BEGUN_EVENTS, Crash, MIN_CRASHES, PartEvidence, SAME_MOMENT, consecutive_crashes, crash_rounds,
+    distinct_crashes, separate_crashes, separate_events,
 };
 use crate::{clock::Moment, configuration::EndpointIncarnation, dialect::PromptPart};
 
@@ -32,13 +33,13 @@
 /// Number of complete answers that clear a prompt part of a crash before which a request with it had come further.
 const CLEARING_ANSWERS: u32 = 3;
 
-/// Time after its last crash for which a request is blocked, and a prompt part with the minimum of crashes.
+/// Time after the last crash for which a request or a prompt part with the minimum of crashes isn't tried.
 const BLOCK_DURATION: Duration = Duration::from_secs(60);
 
-/// Factor on the block of a prompt part for each further crash. Few crashes follow even if such requests come for hours.
+/// Factor on that time for each further crash. Few crashes follow even if such requests come for hours.
 const BLOCK_GROWTH: u32 = 4;
 
-/// Upper limit on the block of a prompt part, and retention time of crash records.
+/// Upper limit on that time, and retention time of crash records.
 const MAX_BLOCK_DURATION: Duration = Duration::from_secs(24 * 3_600);
 
 /// Number of records at which one is dropped for a new one.
@@ -69,14 +70,50 @@
     pub(crate) shared_parts: Vec<PromptPart>,
 }
 
-/// Why a request is blocked, and until when.
+/// Why a request is blocked. It is blocked until what crashes endpoints has been tried with success.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Block {
     pub(crate) cause: BlockCause,
+    /// Identifies what is blocked, the same at all entries.
+    pub(crate) key: u64,
     pub(crate) crashes: usize,
+    /// Time until which it isn't tried.
     pub(crate) until: Moment,
 }
 
+impl Block {
+    fn new(
+        cause: BlockCause,
+        fingerprint: Fingerprint,
+        number: usize,
+        crashes: impl Iterator<Item = Crash> + Clone,
+    ) -> Option<Self> {
+        let last = crashes.clone().map(|crash| crash.crashed_at).max()?;
+        // Crashes before the first block don't make it longer.
+        let rounds = crash_rounds(crashes, BLOCK_DURATION);
+        let further = u32::try_from(rounds.saturating_sub(1)).unwrap_or(u32::MAX);
+        let duration = BLOCK_DURATION.saturating_mul(BLOCK_GROWTH.saturating_pow(further));
+        let key = match &cause {
+            BlockCause::Request => fingerprint.0,
+            BlockCause::Parts(parts) => {
+                let names = parts.iter().flat_map(|part| part.0.to_le_bytes());
+                xxh3_64(&names.collect::<Vec<_>>())
+            }
+        };
+        Some(Self {
+            cause,
+            key,
+            crashes: number,
+            until: last + duration.min(MAX_BLOCK_DURATION),
+        })
+    }
+
+    /// Whether what is blocked may not be tried yet.
+    pub(crate) fn is_in_force(&self, now: Moment) -> bool {
+        now <= self.until
+    }
+}
+
 /// What crashes endpoints.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum BlockCause {
@@ -135,6 +172,18 @@
         }
     }
 
+    /// Adds another run of the request at the endpoint. The one that had come furthest counts, and of equal ones the last.
+    /// Returns whether that is another one than before.
+    fn add_run(&mut self, run_events: u32, sent_at: Moment) -> bool {
+        // The time that reports take makes the same run look later.
+        let known = (self.run_events, self.sent_at + SAME_MOMENT);
+        let counts = run_events > self.run_events || (run_events, sent_at) > known;
+        if counts {
+            (self.run_events, self.sent_at) = (run_events, sent_at);
+        }
+        counts
+    }
+
     const fn report_urgently(&mut self) {
         self.urgent_reports = URGENT_REPORTS;
     }
@@ -185,9 +234,10 @@
         sent_at: Moment,
         crashed_at: Moment,
     ) {
-        let known = self.records.get(&(crash, content.fingerprint));
-        if known.is_some_and(|known| known.run_events > run_events) {
-            // Of several runs of one request, the one that had gone furthest counts.
+        if let Some(known) = self.records.get_mut(&(crash, content.fingerprint)) {
+            if known.add_run(run_events, sent_at) {
+                known.report_urgently();
+            }
             return;
         }
         let suspect = Suspect {
@@ -223,10 +273,7 @@
             if (known.parts.len(), known.is_cleared) != (parts_known, was_cleared) {
                 self.recurrent = None;
             }
-            if known.run_events < run_events {
-                known.run_events = run_events;
-                known.sent_at = now - Duration::from_millis(sent_age_ms.into());
-            }
+            known.add_run(run_events, now - Duration::from_millis(sent_age_ms.into()));
             return None;
         }
         let content = Content {
@@ -347,18 +394,19 @@
         self.records.len()
     }
 
-    /// Why a request must not be sent; `None` if it may be.
+    /// Why a request must not be sent, unless as a trial; `None` if it may be.
     #[must_use]
-    pub(crate) fn block(&self, content: &Content, now: Moment) -> Option<Block> {
+    pub(crate) fn block(&self, content: &Content) -> Option<Block> {
         if self.records.is_empty() {
             return None;
         }
-        self.part_block(&content.shared_parts, now)
-            .or_else(|| self.request_block(content.fingerprint, now))
+        let request = self.request_block(content.fingerprint);
+        let blocks = self.part_block(content).into_iter().chain(request);
+        blocks.max_by_key(|block| block.until)
     }
 
     /// The block of a request for crashes that nothing else explains.
-    fn request_block(&self, fingerprint: Fingerprint, now: Moment) -> Option<Block> {
+    fn request_block(&self, fingerprint: Fingerprint) -> Option<Block> {
         let own = self.crashes_of(fingerprint);
         if own.len() < MIN_CRASHES {
             return None;
@@ -377,6 +425,7 @@
             .map(|one| times(&|other| one.crash().is_at_point_of(&other.crash())));
         let alike = alike.max().unwrap_or(0);
         let all = times(&|_| true);
+        let moments = distinct_crashes(own.values().map(|suspect| suspect.crash()));
         let has_companion = self
             .requests_in_all(own.keys().copied().copied())
             .any(|other| other != fingerprint);
@@ -384,15 +433,12 @@
             (MIN_CRASHES.., _) if !has_companion => alike,
             (MIN_UNCERTAIN_CRASHES.., _) => alike,
             (_, MIN_UNCERTAIN_CRASHES..) if !has_companion => all,
+            // Copies that run at the same time crash their endpoints one after another.
+            _ if moments >= MIN_UNCERTAIN_CRASHES && !has_companion => moments,
             _ => return None,
         };
-        let last = own.values().map(|suspect| suspect.crashed_at).max()?;
-        let until = last + BLOCK_DURATION;
-        (now <= until).then_some(Block {
-            cause: BlockCause::Request,
-            crashes,
-            until,
-        })
+        let own = own.values().map(|suspect| suspect.crash());
+        Block::new(BlockCause::Request, fingerprint, crashes, own)
     }
 
     /// Requests that are suspected of each of some crashes.
@@ -464,7 +510,8 @@
     ///
     /// Parts with the same crashes are equally likely to be the cause. A request with only some of them is sent: its answer
     /// clears them, and a crash incriminates them.
-    fn part_block(&self, parts: &[PromptPart], now: Moment) -> Option<Block> {
+    fn part_block(&self, content: &Content) -> Option<Block> {
+        let parts = &content.shared_parts;
         let blocks = parts.iter().filter_map(|part| {
             let crashes = self.crashes_with(*part);
             let evidence = PartEvidence::of(&crashes);
@@ -475,16 +522,11 @@
             if !is_conclusive && self.is_by_one_request(*part, &crashes) {
                 return None;
             }
-            let further = u32::try_from(count - MIN_CRASHES).unwrap_or(u32::MAX);
-            let duration = BLOCK_DURATION.saturating_mul(BLOCK_GROWTH.saturating_pow(further));
-            let until = last + duration.min(MAX_BLOCK_DURATION);
             let alike = self.inseparable_parts(*part, &crashes)?;
-            let is_blocked = now <= until && alike.iter().all(|part| parts.contains(part));
-            is_blocked.then_some(Block {
-                cause: BlockCause::Parts(alike),
-                crashes: count,
-                until,
-            })
+            let is_blocked = alike.iter().all(|part| parts.contains(part));
+            let (cause, crashes) = (BlockCause::Parts(alike), crashes.values().copied());
+            let block = Block::new(cause, content.fingerprint, count, crashes);
+            block.filter(|_| is_blocked)
         });
         blocks.max_by_key(|block| block.until)
     }
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -31,9 +31,10 @@
         cold::MemberId,
         cold_limit::ColdState,
         notices::Notices,
-        poison::{BlockCause, Content, Poison},
+        poison::{Block, BlockCause, Content, Poison},
         registry::{Closure, Registry},
         suspicion::Suspicions,
+        trials::{Trial, Trials},
     },
     fleet::peers::Peers,
     memory_pool::MemoryPool,
@@ -132,6 +133,7 @@
     pub(crate) cold: RefCell<ColdState>,
     pub(crate) return_queue: ReturnQueue,
     pub(crate) poison: RefCell<Poison>,
+    pub(crate) trials: RefCell<Trials>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placement_queue: PlacementQueue,
     pub(crate) plain_queue: PlainQueue,
@@ -235,6 +237,7 @@
             cold: RefCell::new(cold),
             return_queue: ReturnQueue::default(),
             poison: RefCell::default(),
+            trials: RefCell::default(),
             peers: RefCell::new(peers),
             placement_queue: PlacementQueue::default(),
             plain_queue: PlainQueue::default(),
@@ -495,7 +498,8 @@
     pub(crate) fn apply_suspect(&self, content: &Content) {
         let now = Moment::now();
         let poison = self.poison.borrow();
-        let Some(block) = poison.block(content, now) else {
+        let block = poison.block(content);
+        let Some(block) = block.filter(|block| block.is_in_force(now)) else {
             return;
         };
         let for_s = block.until.since(now).as_secs();
@@ -511,8 +515,40 @@
                 tracing::warn!(event = "prompt_parts_blocked", parts, crashes, for_s);
             }
         }
-        self.placement_queue
-            .reject(|request| poison.block(&request.content, now).is_some());
+        self.placement_queue.reject(|request| {
+            let block = poison.block(&request.content);
+            block.is_some_and(|block| block.is_in_force(now))
+        });
+    }
+
+    /// Why a request is refused as one that crashes endpoints; `None` if it may be sent, also if that is a trial.
+    pub(crate) fn refusing_block(&self, content: &Content, now: Moment) -> Option<Block> {
+        let block = self.poison.borrow().block(content)?;
+        (!self.may_try(&block, now)).then_some(block)
+    }
+
+    /// Begins the trial of a request if it is blocked; fails with the block if this entry may not try it now.
+    pub(crate) fn try_blocked(
+        self: &Rc<Self>,
+        content: &Content,
+        now: Moment,
+    ) -> Result<Option<Trial>, Block> {
+        let Some(block) = self.poison.borrow().block(content) else {
+            return Ok(None);
+        };
+        if !self.may_try(&block, now) {
+            return Err(block);
+        }
+        let (fingerprint, crashes) = (content.fingerprint.0, block.crashes);
+        tracing::info!(event = "blocked_request_tried", fingerprint, cause = ?block.cause, crashes);
+        Ok(Some(Trial::begin(self, &block, now)))
+    }
+
+    fn may_try(&self, block: &Block, now: Moment) -> bool {
+        !block.is_in_force(now) && {
+            let rank = self.peers.borrow().rank(block.key, now);
+            self.trials.borrow().may_begin(block, rank, now)
+        }
     }
 
     /// Whether a route or a key that is not in the configuration in force may be in a newer one.
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use camphorwall::rendezvous_rank;
 use compio::net::UdpSocket;
 use serde::{Deserialize, Serialize};
 
@@ -204,6 +205,19 @@
         near.map(neighbour).collect()
     }
 
+    /// Rank of this entry for a key among all entries from which heartbeats arrive, itself included.
+    pub(crate) fn rank(&self, key: u64, now: Moment) -> usize {
+        let heard = self.known.iter().filter(|(_, peer)| {
+            peer.incarnation.is_some() && now.since(peer.last_seen_at) <= SILENT_AFTER
+        });
+        let own = self.local_address.to_string();
+        let mut entries: Vec<_> = heard.map(|(address, _)| address.to_string()).collect();
+        entries.push(own.clone());
+        let ranked = rendezvous_rank(&key.to_string(), &entries);
+        let rank = ranked.iter().position(|address| **address == own);
+        rank.unwrap_or(0)
+    }
+
     /// Whether any other entry serves callers at present.
     pub(crate) fn is_any_serving(&self, now: Moment) -> bool {
         let mut peers = self.known.values();
--- a/crates/camphorwall-direct/src/request.rs
+++ b/crates/camphorwall-direct/src/request.rs
@@ -18,6 +18,7 @@
     endpoints::{
         poison::{Block, Content, Fingerprint},
         stall::Pauses,
+        trials::{Trial, retry_after},
     },
     entry::{ActiveGuard, Entry},
     memory_pool::MemoryShare,
@@ -49,6 +50,8 @@
     pub(crate) start_by: Moment,
     pub(crate) request_log: Rc<RequestLog>,
     pub(crate) charge: Charge,
+    /// The trial that the request is, if others like it have crashed endpoints.
+    pub(crate) trial: Option<Trial>,
     _memory: [MemoryShare; 2],
     /// Keeps a stopping entry alive until the answer has ended.
     _active: ActiveGuard,
@@ -128,7 +131,9 @@
 
     /// Why the request must not be sent at present; `None` if it may be.
     pub(crate) fn block(&self, entry: &Entry) -> Option<Block> {
-        entry.poison.borrow().block(&self.content, Moment::now())
+        let block = entry.poison.borrow().block(&self.content);
+        // A trial ends with the next crash.
+        block.filter(|block| self.trial.is_none() || block.is_in_force(Moment::now()))
     }
 
     /// Stage of the endpoints that answer the caller.
@@ -224,7 +229,9 @@
     RequestLog::add_elapsed(&request_log.quota_wait, now);
     // The key may have been withdrawn while the request waited for its body or for its team's tokens.
     check_keys_fresh(entry, &route, &configuration)?;
-    check_harmless(entry, &content)?;
+    let now = Moment::now();
+    let trial = entry.try_blocked(&content, now);
+    let trial = trial.map_err(|block| refuse_harmful(&block, now))?;
     let service_facts = configuration.services.get(&service).cloned();
     let admitted = Admitted {
         method: parts.method,
@@ -246,6 +253,7 @@
         content,
         homes,
         request_log: Rc::clone(request_log),
+        trial,
         _memory: memory,
         _active: active,
     };
@@ -306,14 +314,15 @@
     }
 }
 
-/// Refuses a request with content that crashes endpoints.
+/// Refuses a request with content that crashes endpoints, unless it may be tried.
 fn check_harmless(entry: &Entry, content: &Content) -> Result<(), Refusal> {
     let now = Moment::now();
-    let block = entry.poison.borrow().block(content, now);
-    block.map_or(Ok(()), |block| {
-        let retry_after = block.until.since(now);
-        Err(Refusal::not_run(RequestEnd::CrashesEndpoints, retry_after))
-    })
+    let block = entry.refusing_block(content, now);
+    block.map_or(Ok(()), |block| Err(refuse_harmful(&block, now)))
+}
+
+fn refuse_harmful(block: &Block, now: Moment) -> Refusal {
+    Refusal::not_run(RequestEnd::CrashesEndpoints, retry_after(block, now))
 }
 
 /// Hash of what stays the same when a caller sends a request again: path, key and body.
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -11,7 +11,7 @@
     clock::Moment,
     configuration::{Endpoint, Stage},
     dialect::AnswerFacts,
-    endpoints::{cold_limit::no_endpoint, registry::Closure},
+    endpoints::{cold_limit::no_endpoint, registry::Closure, trials::retry_after},
     entry::Entry,
     metrics::Notice,
     names::EndpointName,
@@ -88,7 +88,9 @@
 
     /// Whether the request may be sent again although its last attempt may have run.
     pub(crate) fn may_retry(&self, admitted: &Admitted) -> bool {
-        admitted.route.kind.may_retry() && self.runs < admitted.route.max_attempts
+        admitted.trial.is_none()
+            && admitted.route.kind.may_retry()
+            && self.runs < admitted.route.max_attempts
     }
 
     /// Refuses a request that evacuations or its homes keep from all endpoints that answer callers.
@@ -103,7 +105,7 @@
     /// Refuses to send a request again whose content has turned out to crash endpoints.
     pub(crate) fn check_harmless(&self, entry: &Entry, admitted: &Admitted) -> Result<(), Refusal> {
         admitted.block(entry).map_or(Ok(()), |block| {
-            let retry_after = block.until.since(Moment::now());
+            let retry_after = retry_after(&block, Moment::now());
             Err(self.give_up(RequestEnd::CrashesEndpoints, retry_after))
         })
     }
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -120,7 +120,8 @@
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(run));
         progress.check_harmless(entry, admitted)?;
         let is_retry = progress.prefills > 0;
-        if is_retry && !entry.take_retry(&admitted.service) {
+        let may_retry = || admitted.trial.is_none() && entry.take_retry(&admitted.service);
+        if is_retry && !may_retry() {
             return Err(progress.give_up(RequestEnd::RetryBudget, CAPACITY_RETRY_AFTER));
         }
         let request = admitted.endpoint_request(entry, &endpoint, Stage::Prefill, None, None);
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -108,7 +108,7 @@
                 "a route, service or team of the configuration in force that the request may need can't be read; look for configuration_part_unreadable"
             }
             Self::CrashesEndpoints => {
-                "endpoints crashed three times at the same point of the request, or before they began to answer others with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
+                "endpoints crashed three times at the same point of the request, or three to five times on requests with the same prompt part; endpoint_crashed names them, prompt_parts_blocked the parts"
             }
             Self::EndpointFailed => "the endpoint answered with a failure, which was forwarded",
             Self::EndpointsEvacuated => {
