Wait for crash checks before the next run of a suspected request

Cause: a request that was broken off is sent again at once, while the check whether the endpoint has crashed takes 20 ms and a connection. The next run overtakes the news of the crash before, and crashes one more.

Change: the next run of a request on which another endpoint has crashed waits for checks under way, 250 ms at most. Requests that were broken off for the first time are sent again at once as before.

--- a/crates/camphorwall-direct/src/endpoints/poison.rs
+++ b/crates/camphorwall-direct/src/endpoints/poison.rs
@@ -394,6 +394,12 @@
         self.records.len()
     }
 
+    /// Whether an endpoint crashed on a request.
+    pub(crate) fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
+        let mut records = self.records.iter();
+        records.any(|((_, suspected), suspect)| *suspected == fingerprint && !suspect.is_cleared)
+    }
+
     /// Why a request must not be sent, unless as a trial; `None` if it may be.
     #[must_use]
     pub(crate) fn block(&self, content: &Content) -> Option<Block> {
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     path::PathBuf,
     rc::Rc,
     time::Duration,
@@ -31,7 +32,7 @@
         cold::MemberId,
         cold_limit::ColdState,
         notices::Notices,
-        poison::{Block, BlockCause, Content, Poison},
+        poison::{Block, BlockCause, Content, Fingerprint, Poison},
         registry::{Closure, Registry},
         suspicion::Suspicions,
         trials::{Trial, Trials},
@@ -74,6 +75,9 @@
 /// Pause before the entry checks whether an endpoint that broke off a request still runs.
 const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Maximum time that the next run of a suspected request waits for such checks. An endpoint that went dark refuses no connection.
+const MAX_CRASH_CHECK_WAIT: Duration = Duration::from_millis(250);
+
 /// Factor by which a stream's length is assumed to exceed its estimate.
 const LENGTH_MARGIN: f64 = 1.3;
 
@@ -134,6 +138,8 @@
     pub(crate) return_queue: ReturnQueue,
     pub(crate) poison: RefCell<Poison>,
     pub(crate) trials: RefCell<Trials>,
+    /// Checks under way whether an endpoint has crashed, by the request that it broke off.
+    crash_checks: RefCell<HashMap<Fingerprint, u32>>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) placement_queue: PlacementQueue,
     pub(crate) plain_queue: PlainQueue,
@@ -160,6 +166,35 @@
 /// Counts a request as active until it is dropped.
 pub(crate) struct ActiveGuard(Rc<Entry>);
 
+/// A check whether an endpoint has crashed, until it is dropped.
+struct CrashCheck {
+    entry: Rc<Entry>,
+    fingerprint: Fingerprint,
+}
+
+impl CrashCheck {
+    fn begin(entry: &Rc<Entry>, fingerprint: Fingerprint) -> Self {
+        let mut checks = entry.crash_checks.borrow_mut();
+        *checks.entry(fingerprint).or_default() += 1;
+        Self {
+            entry: Rc::clone(entry),
+            fingerprint,
+        }
+    }
+}
+
+impl Drop for CrashCheck {
+    fn drop(&mut self) {
+        let mut checks = self.entry.crash_checks.borrow_mut();
+        if let Some(count) = checks.get_mut(&self.fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                checks.remove(&self.fingerprint);
+            }
+        }
+    }
+}
+
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
         self.0.active_requests.set(self.0.active_requests.get() - 1);
@@ -238,6 +273,7 @@
             return_queue: ReturnQueue::default(),
             poison: RefCell::default(),
             trials: RefCell::default(),
+            crash_checks: RefCell::default(),
             peers: RefCell::new(peers),
             placement_queue: PlacementQueue::default(),
             plain_queue: PlainQueue::default(),
@@ -471,7 +507,9 @@
         let crash = endpoint.incarnation();
         let request_log = Rc::clone(&admitted.request_log);
         let content = Rc::clone(&admitted.content);
+        let check = CrashCheck::begin(self, content.fingerprint);
         self.tasks.spawn(async move {
+            let _check = check;
             compio::time::sleep(CRASH_CHECK_PAUSE).await;
             if Connection::open(address).await.is_ok() {
                 return;
@@ -494,6 +532,19 @@
         });
     }
 
+    /// Waits until it is known whether the endpoints that broke a request off have crashed, if another one crashed on it before.
+    /// Its next run would overtake the news, and crash one more.
+    pub(crate) async fn await_crash_checks(&self, fingerprint: Fingerprint) {
+        let until = Moment::now() + MAX_CRASH_CHECK_WAIT;
+        let is_checking = || {
+            self.crash_checks.borrow().contains_key(&fingerprint)
+                && self.poison.borrow().is_suspected(fingerprint)
+        };
+        while is_checking() && Moment::now() < until {
+            compio::time::sleep(CRASH_CHECK_PAUSE / 4).await;
+        }
+    }
+
     /// Rejects the waiting requests that a new suspect of a crash leads to be blocked, and logs the block.
     pub(crate) fn apply_suspect(&self, content: &Content) {
         let now = Moment::now();
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -102,6 +102,17 @@
         })
     }
 
+    /// Refuses to send a request again whose content has turned out to crash endpoints, once that is known.
+    pub(crate) async fn check_next_run(
+        &self,
+        entry: &Entry,
+        admitted: &Admitted,
+    ) -> Result<(), Refusal> {
+        let fingerprint = admitted.content.fingerprint;
+        entry.await_crash_checks(fingerprint).await;
+        self.check_harmless(entry, admitted)
+    }
+
     /// Refuses to send a request again whose content has turned out to crash endpoints.
     pub(crate) fn check_harmless(&self, entry: &Entry, admitted: &Admitted) -> Result<(), Refusal> {
         admitted.block(entry).map_or(Ok(()), |block| {
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -78,7 +78,7 @@
             return Err(progress.no_endpoint(entry, admitted, stage, TRANSIENT_RETRY_AFTER));
         };
         let endpoint = Rc::clone(&placement.endpoint);
-        progress.check_harmless(entry, admitted)?;
+        progress.check_next_run(entry, admitted).await?;
         let sent_at = Moment::now();
         progress.begin(admitted, &endpoint.id);
         let can_retry = progress.may_retry(admitted);
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -118,7 +118,7 @@
             left_tokens: 0,
         };
         let placement = Placement::new(entry, Rc::clone(&endpoint), Work::Fixed(run));
-        progress.check_harmless(entry, admitted)?;
+        progress.check_next_run(entry, admitted).await?;
         let is_retry = progress.prefills > 0;
         let may_retry = || admitted.trial.is_none() && entry.take_retry(&admitted.service);
         if is_retry && !may_retry() {
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -217,8 +217,8 @@
     loop {
         let preparing = prepare(entry, admitted, progress, last_event_id, &mut prefilled);
         let prepared = preparing.await;
-        let prepared =
-            prepared.and_then(|ready| progress.check_harmless(entry, admitted).map(|()| ready));
+        let checked = progress.check_next_run(entry, admitted).await;
+        let prepared = prepared.and_then(|ready| checked.map(|()| ready));
         let ConnectedPlacement {
             placement,
             connection,
@@ -742,6 +742,8 @@
         self.entry
             .check_for_crash(&endpoint, &self.admitted, self.sent_at, self.run_events);
         let can_retry = self.progress.may_retry(&self.admitted);
+        let fingerprint = self.admitted.content.fingerprint;
+        self.entry.await_crash_checks(fingerprint).await;
         let is_blocked = self.admitted.block(&self.entry).is_some();
         if !can_retry || is_blocked || !self.entry.take_retry(&self.admitted.service) {
             return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
