--- a/crates/camphorwall-direct/src/endpoints/trials.rs
+++ b/crates/camphorwall-direct/src/endpoints/trials.rs
@@ -3,9 +3,9 @@
 //! A block has no end at which all entries would send what they have held back. Once its time has passed, a request is tried, and
 //! the block ends when the answer has ended. If it crashes another endpoint, the block is longer than before.
 //!
-//! The time after a block is divided into turns. In the first turn one entry of the fleet may try, which a hash chooses; in the
-//! second two entries, then four, since nobody knows which of them the next request reaches. Each tries once in a turn. Entries
-//! that can't reach each other may each try, as if there were several fleets.
+//! The time after a block is divided into turns of fixed length. The entries are ranked by rendezvous hashing. In the first turn
+//! only the highest-ranked entry may try, and the number doubles with each turn, because the next request may arrive at any entry.
+//! Each entry tries at most once per turn. During a network partition, each side ranks its own entries.
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -84,7 +84,7 @@
 /// Time after which a stopping entry no longer waits for a caller that takes nothing of its answer.
 const CALLER_PATIENCE: Duration = Duration::from_secs(3);
 
-/// How often a stopping entry checks whether its requests have ended and their answers have been sent.
+/// Interval at which a stopping entry checks for active requests and unsent answers.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
 /// Phase of an entry's life; each shutdown passes through them in this order.
--- a/crates/camphorwall-direct/src/store/tracker_tests.rs
+++ b/crates/camphorwall-direct/src/store/tracker_tests.rs
@@ -59,7 +59,7 @@
     assert!(!tracker.needs_read() && tracker.may_prove());
 }
 
-/// Guards against an entry that believes in a change, of which another entry told it, that the store doesn't have.
+/// Guards against an entry that stays outdated because a peer reported a configuration that the store doesn't have.
 #[test]
 fn a_change_that_a_later_read_does_not_find_is_not_expected_any_longer() {
     let mut tracker = confirmed();
--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -282,8 +282,7 @@
 pub struct OpenConnections(Rc<RefCell<Vec<Rc<OpenConnection>>>>);
 
 impl OpenConnections {
-    /// Number of connections whose peers are still taking bytes of an answer. One that has taken none for `patience` doesn't
-    /// count.
+    /// Number of connections with unsent bytes of an answer, except those without write progress for `patience`.
     #[must_use]
     pub fn unsent_answers(&self, patience: Duration) -> usize {
         let open = self.0.borrow();
