Leave a reader that is behind what peers report

Cause: a follower judged its reader by the age of the news alone, which shows that a reader has lost the store only after 1.65 s. Its peers told it earlier: each heartbeat carries the revision up to which an entry with a sound way to the store has seen all changes, and whether the sender reads the store. A call that waited at a reader took note of neither, nor of heartbeats that stopped.

Change: while a call waits at a reader, the follower checks each 100 ms whether the reader is silent, has lost the store, or is behind the reported revision for 150 ms. If there is another reader, it goes there at once. Without one it waits until the news are overdue, as before, so that followers don't call a slow store. A configuration that is being read doesn't count, since the reader's revision stays behind meanwhile.

--- a/crates/camphorwall-direct/src/store/call.rs
+++ b/crates/camphorwall-direct/src/store/call.rs
@@ -113,13 +113,24 @@
     reader: SocketAddr,
     path: &str,
     head_timeout: Duration,
+) -> Result<CallBody, StoreError> {
+    call_reader_with(entry, reader, path, head_timeout, || ()).await
+}
+
+/// Calls a reader as [`call_reader`] does; `note_head` is called once the head of the answer has arrived.
+pub(super) async fn call_reader_with(
+    entry: &Entry,
+    reader: SocketAddr,
+    path: &str,
+    head_timeout: Duration,
+    note_head: impl FnOnce(),
 ) -> Result<CallBody, StoreError> {
     let limits = CallLimits {
         head_timeout,
         silence_timeout: READER_TIMEOUT,
         max_bytes: usize::MAX,
     };
-    call(entry, reader, path, limits, || ()).await
+    call(entry, reader, path, limits, note_head).await
 }
 
 /// Body of an answer, or its beginning if it is larger than the call allows.
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -1,17 +1,17 @@
 //! Follows the changes of the configuration and of the endpoints' registrations, from the store or from an entry that
 //! reads it.
 
-use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::future::{self, Either};
 
 use super::{
-    call::{READER_TIMEOUT, StoreError, call_reader, call_store, call_store_with},
+    call::{READER_TIMEOUT, StoreError, call_reader_with, call_store, call_store_with},
     configuration::apply_configuration,
     era::enter_era,
     evacuations::{apply_evacuated, apply_evacuation, note_watched_all},
-    readers::{LocalEntry, Neighbour, Source, source},
+    readers::{LocalEntry, Neighbour, Source, should_leave, source},
     relay::{self, ceil_ms},
 };
 use crate::{
@@ -39,6 +39,13 @@
 /// Timeout of an answer of a reader whose news are overdue. The change that is in them must be known 2 s after it was written.
 const OVERDUE_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How often a follower whose call waits at a reader checks whether the reader is outdated.
+const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time that a reader has to pass on a change that other entries report to have seen. Readers see it at different moments,
+/// because they pause between two calls to the store.
+const MAX_LAG: Duration = Duration::from_millis(150);
+
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
 
@@ -74,8 +81,11 @@
     }
 }
 
-/// Chooses the source from which this entry gets changes now, by a rule.
-pub(super) fn choose_source(entry: &Entry, rule: fn(LocalEntry, &[Neighbour]) -> Source) -> Source {
+/// Decides on a source by a rule that takes this entry and the others of its data centre.
+pub(super) fn choose_source<T>(
+    entry: &Entry,
+    rule: impl FnOnce(LocalEntry, &[Neighbour]) -> T,
+) -> T {
     let settings = entry.settings();
     let local = LocalEntry {
         address: settings.peer_address,
@@ -399,6 +409,38 @@
     })
 }
 
+/// Resolves once a call that waits at a reader, for the changes after a revision, should be ended.
+async fn reader_outdated(
+    entry: &Entry,
+    reader: SocketAddr,
+    after: StoreRevision,
+    is_waiting: &Cell<bool>,
+) -> StoreError {
+    let mut behind_since = None;
+    loop {
+        compio::time::sleep(SOURCE_CHECK_PERIOD).await;
+        if !is_waiting.get() {
+            // The answer has begun.
+            return future::pending().await;
+        }
+        let now = Moment::now();
+        let reported = entry.registry.borrow().contact.sound_revision();
+        // While a reader reads a configuration, its revision stays behind, although it passes on all changes of endpoints.
+        if reported > after && !entry.tracker.borrow().needs_read() {
+            behind_since.get_or_insert(now);
+        }
+        let is_behind = behind_since.is_some_and(|since| now.since(since) >= MAX_LAG);
+        let should_leave = choose_source(entry, |local, neighbours| {
+            should_leave(local, neighbours, reader, is_behind)
+        });
+        if should_leave {
+            return StoreError::Failed(format!(
+                "the reader is silent or behind: peers report revision {reported}, it has passed on {after}"
+            ));
+        }
+    }
+}
+
 /// Gets changes from an entry that reads the store.
 pub(super) async fn follow_reader(
     entry: &Entry,
@@ -420,7 +462,20 @@
     let head_timeout = (wait + READER_TIMEOUT).min(due_in + OVERDUE_ANSWER_TIMEOUT);
     let evacuations_known = entry.registry.borrow().evacuations.revision();
     let path = relay::changes_path(after, evacuations_known.unwrap_or(0), wait);
-    let body = call_reader(entry, reader, &path, head_timeout).await?;
+    let is_waiting = Cell::new(true);
+    let note_head = || is_waiting.set(false);
+    let call = pin!(call_reader_with(
+        entry,
+        reader,
+        &path,
+        head_timeout,
+        note_head
+    ));
+    let outdated = pin!(reader_outdated(entry, reader, after, &is_waiting));
+    let body = match future::select(call, outdated).await {
+        Either::Left((body, _)) => body?,
+        Either::Right((error, _)) => return Err(error),
+    };
     let response: relay::ChangesResponse =
         postcard::from_bytes(&body.bytes).map_err(|error| StoreError::Failed(error.to_string()))?;
     enter_era(entry, response.revision.era)?;
--- a/crates/camphorwall-direct/src/store/readers.rs
+++ b/crates/camphorwall-direct/src/store/readers.rs
@@ -63,6 +63,24 @@
     reader.map_or(Source::Store, |reader| Source::Neighbour(reader.address))
 }
 
+/// Whether a follower should end its waiting call to a reader, because the reader is silent or has lost the store, or because
+/// other entries have seen changes that it has not passed on (`is_behind`).
+///
+/// If there is no other reader, the follower waits until the news are overdue, so that the followers don't all call the store
+/// whenever it is slow.
+pub(crate) fn should_leave(
+    local: LocalEntry,
+    neighbours: &[Neighbour],
+    reader: SocketAddr,
+    is_behind: bool,
+) -> bool {
+    let known = neighbours.iter().find(|one| one.address == reader);
+    let is_outdated = is_behind || known.is_none_or(|known| !known.reads_store);
+    let readers = ranked_readers(local, neighbours);
+    let mut others = readers.usable.iter().filter(|one| one.address != reader);
+    is_outdated && (readers.is_reader || others.next().is_some())
+}
+
 /// Chooses the source from which an entry gets a configuration, also one that reads the store itself: the reader with the
 /// fastest link if it is faster than the entry's own. With an equal one, the store is as fast.
 pub(crate) fn configuration_source(local: LocalEntry, neighbours: &[Neighbour]) -> Source {
--- a/crates/camphorwall-direct/src/store/readers_tests.rs
+++ b/crates/camphorwall-direct/src/store/readers_tests.rs
@@ -3,7 +3,11 @@
     net::SocketAddr,
 };
 
-use crate::store::readers::{LocalEntry, Neighbour, Source, configuration_source, source};
+use rstest::rstest;
+
+use crate::store::readers::{
+    LocalEntry, Neighbour, Source, configuration_source, should_leave, source,
+};
 
 fn address(number: usize) -> SocketAddr {
     SocketAddr::from(([10, 1, 0, u8::try_from(number).expect("few")], 7_500))
@@ -141,3 +145,37 @@
         );
     }
 }
+
+/// Guards against followers that wait at a reader which has lost the store or has stopped, and against followers that all call
+/// the store when it is slow.
+#[rstest]
+#[case::up_to_date(true, true, true, false, false)]
+#[case::behind(true, true, true, true, true)]
+#[case::behind_and_the_only_one(true, true, false, true, false)]
+#[case::without_the_store(true, false, true, false, true)]
+#[case::without_the_store_as_the_other(true, false, false, false, false)]
+#[case::silent(false, false, true, false, true)]
+#[case::silent_as_the_other(false, false, false, false, false)]
+fn a_follower_leaves_a_reader_that_is_silent_or_for_one_that_knows_more(
+    #[case] is_heard: bool,
+    #[case] reads_store: bool,
+    #[case] does_other_read: bool,
+    #[case] is_behind: bool,
+    #[case] leaves: bool,
+) {
+    let neighbour = |number: usize, reads_store: bool| Neighbour {
+        address: address(number),
+        reads_store,
+        link_mbps: link_mbps(number),
+        is_avoided: false,
+    };
+    for (reader, other) in [(13, 26), (26, 13)] {
+        let mut neighbours: Vec<_> = (2..5).map(|number| neighbour(number, false)).collect();
+        neighbours.push(neighbour(other, does_other_read));
+        if is_heard {
+            neighbours.push(neighbour(reader, reads_store));
+        }
+        let left = should_leave(local_entry(1), &neighbours, address(reader), is_behind);
+        assert_eq!(left, leaves, "reader {reader}");
+    }
+}
