Leave the only reader when it is far behind

What callers saw: nothing yet.

Cause: as for one reader, only the age of the news ended the call to the last reader, although entries of other data centres reported the change.

Change: a follower leaves its only reader for the store when it is behind the reported revision for 600 ms.

The case far_behind_and_the_only_one of readers_tests fails without the change.

--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -42,10 +42,6 @@
 /// How often a follower whose call waits at a reader checks whether the reader is outdated.
 const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time that a reader has to pass on a change that other entries report to have seen. Readers see it at different moments,
-/// because they pause between two calls to the store.
-const MAX_LAG: Duration = Duration::from_millis(150);
-
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
 
@@ -429,9 +425,9 @@
         if reported > after && !entry.tracker.borrow().needs_read() {
             behind_since.get_or_insert(now);
         }
-        let is_behind = behind_since.is_some_and(|since| now.since(since) >= MAX_LAG);
+        let lag = behind_since.map_or(Duration::ZERO, |since| now.since(since));
         let should_leave = choose_source(entry, |local, neighbours| {
-            should_leave(local, neighbours, reader, is_behind)
+            should_leave(local, neighbours, reader, lag)
         });
         if should_leave {
             return StoreError::Failed(format!(
--- a/crates/camphorwall-direct/src/store/readers.rs
+++ b/crates/camphorwall-direct/src/store/readers.rs
@@ -1,6 +1,6 @@
 //! Chooses the entries that read the store, as a pure function of the known addresses.
 
-use std::{cmp::Reverse, collections::HashMap, net::SocketAddr};
+use std::{cmp::Reverse, collections::HashMap, net::SocketAddr, time::Duration};
 
 use crate::names::DataCentreName;
 use camphorwall::rendezvous_rank;
@@ -10,6 +10,13 @@
 /// second before this is detected; its followers then use the other one.
 const READER_COUNT: usize = 2;
 
+/// Time that a reader has to pass on a change that other entries report to have seen. Readers see it at different moments,
+/// because they pause between two calls to the store.
+pub(crate) const MAX_LAG: Duration = Duration::from_millis(150);
+
+/// The same if there is no other reader. It is longer, because the followers then call the store, which may just be slow.
+pub(crate) const MAX_LAG_OF_ONLY_READER: Duration = Duration::from_millis(600);
+
 /// Hash of a data centre's name in heartbeats. If two data centres have the same hash, their entries may follow each
 /// other over a longer network path; a collision has no other effect.
 pub(crate) type CentreKey = u16;
@@ -64,21 +71,22 @@
 }
 
 /// Whether a follower should end its waiting call to a reader, because the reader is silent or has lost the store, or because
-/// other entries have seen changes that it has not passed on (`is_behind`).
-///
-/// If there is no other reader, the follower waits until the news are overdue, so that the followers don't all call the store
-/// whenever it is slow.
+/// other entries have seen a change that it has not passed on for `lag`.
 pub(crate) fn should_leave(
     local: LocalEntry,
     neighbours: &[Neighbour],
     reader: SocketAddr,
-    is_behind: bool,
+    lag: Duration,
 ) -> bool {
     let known = neighbours.iter().find(|one| one.address == reader);
-    let is_outdated = is_behind || known.is_none_or(|known| !known.reads_store);
+    let is_outdated = lag >= MAX_LAG || known.is_none_or(|known| !known.reads_store);
     let readers = ranked_readers(local, neighbours);
     let mut others = readers.usable.iter().filter(|one| one.address != reader);
-    is_outdated && (readers.is_reader || others.next().is_some())
+    if readers.is_reader || others.next().is_some() {
+        is_outdated
+    } else {
+        lag >= MAX_LAG_OF_ONLY_READER
+    }
 }
 
 /// Chooses the source from which an entry gets a configuration, also one that reads the store itself: the reader with the
--- a/crates/camphorwall-direct/src/store/readers_tests.rs
+++ b/crates/camphorwall-direct/src/store/readers_tests.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    time::Duration,
 };
 
 use rstest::rstest;
@@ -149,18 +150,19 @@
 /// Guards against followers that wait at a reader which has lost the store or has stopped, and against followers that all call
 /// the store when it is slow.
 #[rstest]
-#[case::up_to_date(true, true, true, false, false)]
-#[case::behind(true, true, true, true, true)]
-#[case::behind_and_the_only_one(true, true, false, true, false)]
-#[case::without_the_store(true, false, true, false, true)]
-#[case::without_the_store_as_the_other(true, false, false, false, false)]
-#[case::silent(false, false, true, false, true)]
-#[case::silent_as_the_other(false, false, false, false, false)]
+#[case::up_to_date(true, true, true, 100, false)]
+#[case::behind(true, true, true, 200, true)]
+#[case::behind_and_the_only_one(true, true, false, 500, false)]
+#[case::far_behind_and_the_only_one(true, true, false, 700, true)]
+#[case::without_the_store(true, false, true, 0, true)]
+#[case::without_the_store_as_the_other(true, false, false, 0, false)]
+#[case::silent(false, false, true, 0, true)]
+#[case::silent_as_the_other(false, false, false, 0, false)]
 fn a_follower_leaves_a_reader_that_is_silent_or_for_one_that_knows_more(
     #[case] is_heard: bool,
     #[case] reads_store: bool,
     #[case] does_other_read: bool,
-    #[case] is_behind: bool,
+    #[case] lag_ms: u64,
     #[case] leaves: bool,
 ) {
     let neighbour = |number: usize, reads_store: bool| Neighbour {
@@ -175,7 +177,8 @@
         if is_heard {
             neighbours.push(neighbour(reader, reads_store));
         }
-        let left = should_leave(local_entry(1), &neighbours, address(reader), is_behind);
+        let lag = Duration::from_millis(lag_ms);
+        let left = should_leave(local_entry(1), &neighbours, address(reader), lag);
         assert_eq!(left, leaves, "reader {reader}");
     }
 }
