Ignore reported revisions that nothing confirms

What callers saw: nothing.

Cause: the belief that a reader is behind could be ended only by that revision.

Change: the lag counts from the first check at which a report was missing, across calls, until it is caught up with. A report that nothing confirms within 3 s is ignored; the age of the news decides then, as before. The lag begins anew after a configuration has been read.

Evidence: never_confirmed of the_lag_behind_reported_revisions_counts_ until_it_is_caught_up_or_not_credible.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -46,7 +46,8 @@
     request_log::Sampler,
     settings::DirectSettings,
     store::{
-        ConfigurationTracker, NewsAges, ParsedRoutes, RecentConfigurations, StoreMirror, centre_key,
+        ConfigurationTracker, NewsAges, ParsedRoutes, RecentConfigurations, RevisionLag,
+        StoreMirror, centre_key,
     },
     upstream::{Connection, SendError},
 };
@@ -118,6 +119,7 @@
     /// Copy of the store's registrations for the entries that follow this one.
     pub(crate) mirror: RefCell<StoreMirror>,
     pub(crate) news_ages: RefCell<NewsAges>,
+    pub(crate) revision_lag: RefCell<RevisionLag>,
     /// Whether this entry reads the store itself.
     pub(crate) reads_store: Cell<bool>,
     /// Whether a watch of all keys of the store waits for changes.
@@ -257,6 +259,7 @@
             recent: RefCell::default(),
             mirror: RefCell::default(),
             news_ages: RefCell::default(),
+            revision_lag: RefCell::default(),
             reads_store: Cell::new(false),
             store_era: Cell::new(None),
             quotas: RefCell::new(Quotas::new(Moment::now())),
--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -11,6 +11,7 @@
     configuration::apply_configuration,
     era::enter_era,
     evacuations::{apply_evacuated, apply_evacuation, note_watched_all},
+    news::RevisionLag,
     readers::{LocalEntry, Neighbour, Source, should_leave, source},
     relay::{self, ceil_ms},
 };
@@ -405,6 +406,16 @@
     })
 }
 
+/// Time for which this entry has been behind the revision that its peers report.
+fn revision_lag(entry: &Entry, known: StoreRevision, reported: StoreRevision) -> Duration {
+    let mut lag = entry.revision_lag.borrow_mut();
+    if entry.tracker.borrow().needs_read() {
+        // While a reader reads a configuration, its revision stays behind, although it passes on all changes of endpoints.
+        *lag = RevisionLag::default();
+    }
+    lag.update(known, reported, Moment::now())
+}
+
 /// Resolves once a call that waits at a reader, for the changes after a revision, should be ended.
 async fn reader_outdated(
     entry: &Entry,
@@ -412,20 +423,14 @@
     after: StoreRevision,
     is_waiting: &Cell<bool>,
 ) -> StoreError {
-    let mut behind_since = None;
     loop {
         compio::time::sleep(SOURCE_CHECK_PERIOD).await;
         if !is_waiting.get() {
             // The answer has begun.
             return future::pending().await;
         }
-        let now = Moment::now();
         let reported = entry.registry.borrow().contact.sound_revision();
-        // While a reader reads a configuration, its revision stays behind, although it passes on all changes of endpoints.
-        if reported > after && !entry.tracker.borrow().needs_read() {
-            behind_since.get_or_insert(now);
-        }
-        let lag = behind_since.map_or(Duration::ZERO, |since| now.since(since));
+        let lag = revision_lag(entry, after, reported);
         let should_leave = choose_source(entry, |local, neighbours| {
             should_leave(local, neighbours, reader, lag)
         });
--- a/crates/camphorwall-direct/src/store/mod.rs
+++ b/crates/camphorwall-direct/src/store/mod.rs
@@ -34,7 +34,7 @@
 pub(crate) use evacuations::follow_evacuations;
 pub(crate) use follow::follow;
 pub(crate) use mirror::StoreMirror;
-pub(crate) use news::NewsAges;
+pub(crate) use news::{NewsAges, RevisionLag};
 pub(crate) use readers::{CentreKey, Neighbour, centre_key};
 pub(crate) use recent::RecentConfigurations;
 pub(crate) use relay::answer_follower;
--- a/crates/camphorwall-direct/src/store/news.rs
+++ b/crates/camphorwall-direct/src/store/news.rs
@@ -1,4 +1,5 @@
-//! Decides how old the news of a reader may become before its follower turns to another source.
+//! Decides how old the news of a reader may become, and how long the reader may be behind what peers report, before its follower
+//! turns to another source.
 //!
 //! A reader gets an answer of the store at least once in each [`WATCH_WAIT`], and passes it on at once. If none has come for
 //! longer, the reader has lost its way to the store, or the follower its way to the reader, whichever of its calls still waits.
@@ -6,7 +7,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use super::follow::{CHANGES_PAUSE, WATCH_WAIT};
-use crate::endpoints::registry::STALE_PROOF_AGE;
+use crate::{clock::Moment, dialect::StoreRevision, endpoints::registry::STALE_PROOF_AGE};
 
 /// Number of answers from which the usual delay of news is taken, that of the freshest.
 const RECENT_ANSWERS: usize = 3;
@@ -14,6 +15,35 @@
 /// Maximum delay of news beyond the usual.
 const MAX_EXTRA_DELAY: Duration = Duration::from_millis(100);
 
+/// Time after which a reported revision that no source has confirmed is ignored. It may come from a store that has been replaced.
+const REPORT_EXPIRY: Duration = Duration::from_secs(3);
+
+/// How long this entry has been behind a revision that its peers report.
+#[derive(Debug, Default)]
+pub(crate) struct RevisionLag(Option<(StoreRevision, Moment)>);
+
+impl RevisionLag {
+    /// Time for which a reported revision has been missing, given the known and the highest reported revision; zero if
+    /// none is, or if the report has expired.
+    pub(crate) fn update(
+        &mut self,
+        known: StoreRevision,
+        reported: StoreRevision,
+        now: Moment,
+    ) -> Duration {
+        self.0 = self.0.filter(|(missing, _)| *missing > known);
+        if reported > known {
+            self.0.get_or_insert((reported, now));
+        }
+        let lag = self.0.map_or(Duration::ZERO, |(_, since)| now.since(since));
+        if lag < REPORT_EXPIRY {
+            lag
+        } else {
+            Duration::ZERO
+        }
+    }
+}
+
 /// Ages of a follower's last news at their arrival.
 #[derive(Debug, Default)]
 pub(crate) struct NewsAges(VecDeque<Duration>);
--- a/crates/camphorwall-direct/src/store/news_tests.rs
+++ b/crates/camphorwall-direct/src/store/news_tests.rs
@@ -7,7 +7,7 @@
 use crate::{
     store::{
         follow::{CHANGES_PAUSE, proof_wait, proved_by},
-        news::NewsAges,
+        news::{NewsAges, RevisionLag},
     },
     testing::at_ms,
 };
@@ -69,3 +69,24 @@
         assert!(left <= 3, "seed {seed}: {left} times");
     }
 }
+
+/// Guards against followers that leave their readers for good because of a revision that no source ever has, such as one of a
+/// store that has been replaced.
+#[rstest]
+#[case::up_to_date(&[(0, 5, 5), (200, 5, 5)], 0)]
+#[case::behind(&[(0, 5, 6), (200, 5, 6)], 200)]
+#[case::further_changes_while_behind(&[(0, 5, 6), (100, 5, 7), (200, 5, 8)], 200)]
+#[case::caught_up_with_the_first_change(&[(0, 5, 6), (100, 6, 7), (200, 6, 7)], 100)]
+#[case::caught_up_meanwhile(&[(0, 5, 6), (2_000, 9, 10)], 0)]
+#[case::never_confirmed(&[(0, 5, 900), (1_000, 6, 900), (3_100, 7, 900)], 0)]
+fn the_lag_behind_reported_revisions_counts_until_it_is_caught_up_or_not_credible(
+    #[case] updates: &[(u64, u64, u64)],
+    #[case] lag_ms: u64,
+) {
+    let mut lag = RevisionLag::default();
+    let update = |(at, known, reported): &(u64, u64, u64)| {
+        lag.update((*known).into(), (*reported).into(), at_ms(10_000 + at))
+    };
+    let last = updates.iter().map(update).last();
+    assert_eq!(last, Some(Duration::from_millis(lag_ms)));
+}
