Leave readers only for changes that they have not passed on

What callers saw: nothing.

Cause: silence and a lost store also ended a waiting call, although nothing had been missed.

Change: only a reported change that the reader has not passed on ends the call. A reader that is frozen or has lost the store is left for it as well; without a change, the age of the news decides, as before.

--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -40,7 +40,7 @@
 /// Timeout of an answer of a reader whose news are overdue. The change that is in them must be known 2 s after it was written.
 const OVERDUE_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How often a follower whose call waits at a reader checks whether the reader is outdated.
+/// How often a follower whose call waits at a reader checks whether the reader is behind.
 const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time for which this entry doesn't follow a reader that failed to answer it.
@@ -417,7 +417,7 @@
 }
 
 /// Resolves once a call that waits at a reader, for the changes after a revision, should be ended.
-async fn reader_outdated(
+async fn reader_behind(
     entry: &Entry,
     reader: SocketAddr,
     after: StoreRevision,
@@ -436,7 +436,7 @@
         });
         if should_leave {
             return StoreError::Failed(format!(
-                "the reader is silent or behind: peers report revision {reported}, it has passed on {after}"
+                "the reader is behind: peers report revision {reported}, it has passed on {after}"
             ));
         }
     }
@@ -472,8 +472,8 @@
         head_timeout,
         note_head
     ));
-    let outdated = pin!(reader_outdated(entry, reader, after, &is_waiting));
-    let body = match future::select(call, outdated).await {
+    let behind = pin!(reader_behind(entry, reader, after, &is_waiting));
+    let body = match future::select(call, behind).await {
         Either::Left((body, _)) => body?,
         Either::Right((error, _)) => return Err(error),
     };
--- a/crates/camphorwall-direct/src/store/readers.rs
+++ b/crates/camphorwall-direct/src/store/readers.rs
@@ -70,22 +70,21 @@
     reader.map_or(Source::Store, |reader| Source::Neighbour(reader.address))
 }
 
-/// Whether a follower should end its waiting call to a reader, because the reader is silent or has lost the store, or because
-/// other entries have seen a change that it has not passed on for `lag`.
+/// Whether a follower should end its waiting call to a reader, which has not passed on a change that other entries have seen
+/// for `lag`.
 pub(crate) fn should_leave(
     local: LocalEntry,
     neighbours: &[Neighbour],
     reader: SocketAddr,
     lag: Duration,
 ) -> bool {
-    let known = neighbours.iter().find(|one| one.address == reader);
-    let is_outdated = lag >= MAX_LAG || known.is_none_or(|known| !known.reads_store);
     let readers = ranked_readers(local, neighbours);
     let mut others = readers.usable.iter().filter(|one| one.address != reader);
-    if readers.is_reader || others.next().is_some() {
-        is_outdated
+    let has_other_source = readers.is_reader || others.next().is_some();
+    lag >= if has_other_source {
+        MAX_LAG
     } else {
-        lag >= MAX_LAG_OF_ONLY_READER
+        MAX_LAG_OF_ONLY_READER
     }
 }
 
