--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -41,7 +41,7 @@
 const OVERDUE_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How often a follower whose call waits at a reader checks whether the reader is behind.
-const SOURCE_CHECK_PERIOD: Duration = Duration::from_millis(100);
+const LAG_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time for which this entry doesn't follow a reader that failed to answer it.
 const READER_AVOIDANCE: Duration = Duration::from_secs(3);
@@ -416,7 +416,8 @@
     lag.update(known, reported, Moment::now())
 }
 
-/// Resolves once a call that waits at a reader, for the changes after a revision, should be ended.
+/// Resolves once a call that waits at a reader for the changes after a revision should be ended, because the reader is behind its
+/// peers.
 async fn reader_behind(
     entry: &Entry,
     reader: SocketAddr,
@@ -424,7 +425,7 @@
     is_waiting: &Cell<bool>,
 ) -> StoreError {
     loop {
-        compio::time::sleep(SOURCE_CHECK_PERIOD).await;
+        compio::time::sleep(LAG_CHECK_PERIOD).await;
         if !is_waiting.get() {
             // The answer has begun.
             return future::pending().await;
--- a/crates/camphorwall-direct/src/store/readers.rs
+++ b/crates/camphorwall-direct/src/store/readers.rs
@@ -12,10 +12,10 @@
 
 /// Time that a reader has to pass on a change that other entries report to have seen. Readers see it at different moments,
 /// because they pause between two calls to the store.
-pub(crate) const MAX_LAG: Duration = Duration::from_millis(150);
+const MAX_LAG: Duration = Duration::from_millis(150);
 
-/// The same if there is no other reader. It is longer, because the followers then call the store, which may just be slow.
-pub(crate) const MAX_LAG_OF_ONLY_READER: Duration = Duration::from_millis(600);
+/// Such a time if there is no other reader. Followers then call the store, which may just be slow.
+const MAX_LAG_OF_ONLY_READER: Duration = Duration::from_millis(600);
 
 /// Hash of a data centre's name in heartbeats. If two data centres have the same hash, their entries may follow each
 /// other over a longer network path; a collision has no other effect.
@@ -80,12 +80,12 @@
 ) -> bool {
     let readers = ranked_readers(local, neighbours);
     let mut others = readers.usable.iter().filter(|one| one.address != reader);
-    let has_other_source = readers.is_reader || others.next().is_some();
-    lag >= if has_other_source {
+    let max_lag = if readers.is_reader || others.next().is_some() {
         MAX_LAG
     } else {
         MAX_LAG_OF_ONLY_READER
-    }
+    };
+    lag >= max_lag
 }
 
 /// Chooses the source from which an entry gets a configuration, also one that reads the store itself: the reader with the
--- a/crates/camphorwall-direct/src/store/readers_tests.rs
+++ b/crates/camphorwall-direct/src/store/readers_tests.rs
@@ -147,8 +147,8 @@
     }
 }
 
-/// Guards against followers that wait at a reader which has lost the store or has stopped, and against followers that all call
-/// the store when it is slow or the readers are.
+/// Guards against followers that wait at a reader which has lost the store or is frozen, and against followers that leave readers
+/// which are merely slow.
 #[rstest]
 #[case::behind(true, true, 200, true)]
 #[case::silent_and_behind(false, true, 200, true)]
