--- a/crates/camphorwall-direct/src/store/follow.rs
+++ b/crates/camphorwall-direct/src/store/follow.rs
@@ -40,7 +40,7 @@
 /// Timeout of an answer of a reader whose news are overdue. The change that is in them must be known 2 s after it was written.
 const OVERDUE_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How often a follower whose call waits at a reader checks whether the reader is behind.
+/// Period at which a follower compares its revision with that of its peers during a call to a reader.
 const LAG_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time for which this entry doesn't follow a reader that failed to answer it.
--- a/crates/camphorwall-direct/src/store/news.rs
+++ b/crates/camphorwall-direct/src/store/news.rs
@@ -18,7 +18,7 @@
 /// Time after which a reported revision that no source has confirmed is ignored. It may come from a store that has been replaced.
 const REPORT_EXPIRY: Duration = Duration::from_secs(3);
 
-/// How long this entry has been behind a revision that its peers report.
+/// First revision reported by peers that this entry lacks, and the moment at which it was noticed.
 #[derive(Debug, Default)]
 pub(crate) struct RevisionLag(Option<(StoreRevision, Moment)>);
 
--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -282,13 +282,13 @@
 pub struct OpenConnections(Rc<RefCell<Vec<Rc<OpenConnection>>>>);
 
 impl OpenConnections {
-    /// Number of connections with unsent bytes of an answer, except those without write progress for `patience`.
+    /// Number of connections with unsent bytes of an answer whose last write progress is more recent than `write_timeout`.
     #[must_use]
-    pub fn unsent_answers(&self, patience: Duration) -> usize {
+    pub fn unsent_answers(&self, write_timeout: Duration) -> usize {
         let open = self.0.borrow();
         let is_sending = |one: &&Rc<OpenConnection>| {
             let unsent_for = one.meter.unsent_for();
-            unsent_for.is_some_and(|time| time < patience)
+            unsent_for.is_some_and(|time| time < write_timeout)
         };
         open.iter().filter(is_sending).count()
     }
