--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Plays the case and writes record.txt; exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-target/review-3/cases nothing-after-resumption review/13
+target/review-3/cases length-of-first-run review/13
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -48,12 +48,21 @@
     .into_bytes()
 }
 
+/// The part of a prompt that all requests share, and the one that differs in harmful ones.
+const SHARED_PART: &str = "5c1e07a2";
+const USUAL_PART: &str = "91bd3f06";
+const HARMFUL_PART: &str = "bad0c0de";
+
 fn stream_request(id: &str, key: &str) -> Vec<u8> {
+    stream_request_with(id, key, USUAL_PART)
+}
+
+fn stream_request_with(id: &str, key: &str, part: &str) -> Vec<u8> {
     let body = format!("draft {id}");
     let length = body.len();
     format!(
         "POST /drafts/quote HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Usage: 1460,80\r\n\
-         Prompt-Prefix: 5c1e07a2:200,{:08x}:1260\r\nLength-Hint: 70\r\nDeadline-Ms: 14000\r\n\
+         Prompt-Prefix: {SHARED_PART}:200,{part}:300,{:08x}:960\r\nLength-Hint: 70\r\nDeadline-Ms: 14000\r\n\
          Authorization: Bearer {key}\r\nContent-Length: {length}\r\n\r\n{body}",
         id.bytes().fold(7_u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()))
     )
@@ -273,7 +282,7 @@
         };
         // The new weights have come to all replicas but the first.
         let weights = if number == 0 { "1" } else { "2" };
-        let behaviour = ["streams", "length", weights];
+        let behaviour = ["streams", "length", weights, "none"];
         replicas.push(Replica::start(
             &format!("s-{number}"),
             &behaviour,
@@ -352,7 +361,7 @@
         let note = move |name: &str, line: &str| {
             let _ = noted.send((name.to_owned(), line.to_owned()));
         };
-        let behaviour = ["streams", "none", "1"];
+        let behaviour = ["streams", "connection", "1", "none"];
         replicas.push(Replica::start(
             &format!("s-{number}"),
             &behaviour,
@@ -517,3 +526,126 @@
     }
     Ok(late == 0)
 }
+
+/// A part of prompts crashes each replica after the first event of an answer. Answers end with their connections.
+pub fn harmful_part(is_troubled: bool, to: &Path) -> Outcome {
+    const REPLICAS: usize = 9;
+    const LENGTH: Duration = Duration::from_secs(40);
+    /// Time after which a machine counts as in touch, and a crash as known.
+    const CONTACT: Duration = Duration::from_secs(3);
+    const BACK_AFTER: Duration = Duration::from_secs(2);
+    let record = Record::create(&to.join("record.txt"))?;
+    let framing = std::env::var("FRAMING").unwrap_or_else(|_| "connection".to_owned());
+    let harmful = if is_troubled { HARMFUL_PART } else { "none" };
+    let (crashed, crashes) = mpsc::channel();
+    // When each run began, by request.
+    let runs: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+    let start = |id: &str| {
+        let (crashed, runs) = (crashed.clone(), Arc::clone(&runs));
+        let note = move |name: &str, line: &str| {
+            let words: Vec<_> = line.split(' ').collect();
+            match words[..] {
+                ["runs", id, ..] => {
+                    let mut runs = runs.lock().expect("no holder panics");
+                    runs.push((Instant::now(), id.to_owned()));
+                }
+                ["crashes", ..] => {
+                    let _ = crashed.send((Instant::now(), name.to_owned()));
+                }
+                _ => {}
+            }
+        };
+        Replica::start(id, &["streams", &framing, "1", harmful], &record, note)
+    };
+    let mut replicas = Vec::new();
+    for number in 0..REPLICAS {
+        replicas.push(start(&format!("s-{number}"))?);
+    }
+    let fleet = Fleet::start(2, "models", Some("decode"), 12, &replicas, &["key-1"])?;
+    let until = Instant::now() + LENGTH;
+    let answers: Arc<Mutex<Vec<Answer>>> = Arc::default();
+    // Six clients with sound requests, and one with harmful ones.
+    let clients: Vec<_> = (0..7)
+        .map(|client| {
+            let (record, answers) = (record.clone(), Arc::clone(&answers));
+            let entries = fleet.addresses();
+            thread::spawn(move || {
+                let is_harmful = client == 6;
+                for number in 0.. {
+                    if Instant::now() >= until {
+                        return;
+                    }
+                    let id = format!("{client:02x}{number:06x}0");
+                    let part = if is_harmful { HARMFUL_PART } else { USUAL_PART };
+                    let entry = entries[(client + number) % entries.len()];
+                    record.note(&format!("client {client}  sends {id} with part {part}"));
+                    let request = stream_request_with(&id, "key-1", part);
+                    let answer = call(entry, &request, Duration::from_secs(14));
+                    let events = whole_events(&answer.body);
+                    record.note(&format!(
+                        "client {client}  gets {id} {}, {events} of {EVENTS} events",
+                        describe(&answer)
+                    ));
+                    if is_harmful {
+                        thread::sleep(Duration::from_millis(500));
+                    } else {
+                        answers.lock().expect("no holder panics").push(answer);
+                        thread::sleep(Duration::from_millis(100));
+                    }
+                }
+            })
+        })
+        .collect();
+    let mut crashed_at = Vec::new();
+    let mut due: Vec<(Instant, String)> = Vec::new();
+    let mut next = REPLICAS;
+    while Instant::now() < until {
+        if let Ok((at, name)) = crashes.recv_timeout(Duration::from_millis(20)) {
+            crashed_at.push(at);
+            due.push((at + BACK_AFTER, name));
+        }
+        // A replica is back under another id after some seconds; the old entry lapses after three heartbeats.
+        while due.first().is_some_and(|(at, _)| *at <= Instant::now()) {
+            let (_, name) = due.remove(0);
+            let replica = start(&format!("s-{next}"))?;
+            next += 1;
+            let registration = replica.registration("models", Some("decode"), 12);
+            fleet
+                .store
+                .put(&format!("servers/{}", replica.id), &registration);
+            fleet.store.remove(&format!("servers/{name}"));
+            record.note(&format!("{name}  is back as {}", replica.id));
+            replicas.push(replica);
+        }
+    }
+    for client in clients {
+        client.join().map_err(|_| "a client ended early")?;
+    }
+    fleet.keep_logs(to);
+    let fifth = crashed_at.get(4).copied();
+    let runs = runs.lock().expect("no holder panics");
+    let is_late = |at: Instant| fifth.is_some_and(|fifth| at > fifth + CONTACT);
+    let late = runs
+        .iter()
+        .filter(|(at, id)| id.starts_with("06") && is_late(*at))
+        .count();
+    let answers = answers.lock().expect("no holder panics");
+    let whole = answers
+        .iter()
+        .filter(|answer| whole_events(&answer.body) == EVENTS)
+        .count();
+    let short = answers.iter().filter(|answer| is_cut_short(answer)).count();
+    let summary = format!(
+        "{} crashes; {late} runs with the part later than {} s after the fifth; of {} sound streams {whole} had all events, and \
+         {short} ended as complete before their last event",
+        crashed_at.len(),
+        CONTACT.as_secs(),
+        answers.len()
+    );
+    record.note(&summary);
+    println!("{summary}");
+    if whole < 20 || (is_troubled && fifth.is_none()) {
+        return Err("too few streams were served, or too few replicas crashed".into());
+    }
+    Ok(late <= 3)
+}
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -28,6 +28,7 @@
         "length-of-first-run" => cases::length_of_first_run(is_troubled, folder),
         "nothing-after-resumption" => cases::nothing_after_resumption(is_troubled, folder),
         "key-withdrawn-before-restore" => cases::key_withdrawn_before_restore(is_troubled, folder),
+        "harmful-part" => cases::harmful_part(is_troubled, folder),
         _ => Err(format!("there is no case {name:?}").into()),
     };
     match outcome {
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -35,13 +35,30 @@
     SignedFailures,
 }
 
+/// How the end of an answer is known.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Framing {
+    Length,
+    Chunks,
+    Connection,
+}
+
+/// How a replica runs streams.
+#[derive(Clone)]
+struct Streams {
+    framing: Framing,
+    weights: u32,
+    /// Part of a prompt on which the process ends after the first event of the answer.
+    harmful_part: Option<String>,
+}
+
 /// What a replica does with requests.
 #[derive(Clone)]
 enum Behaviour {
     /// Runs an order.
     Orders(Mood),
-    /// Runs a stream; the answer has a length, or else ends with its connection.
-    Streams { has_length: bool, weights: u32 },
+    /// Runs a stream.
+    Streams(Streams),
 }
 
 pub fn run(arguments: &[String]) -> io::Result<()> {
@@ -52,10 +69,15 @@
             "signed-failures" => Mood::SignedFailures,
             _ => Mood::Sound,
         }),
-        ["streams", framing, weights] => Behaviour::Streams {
-            has_length: framing == "length",
+        ["streams", framing, weights, harmful_part] => Behaviour::Streams(Streams {
+            framing: match framing {
+                "length" => Framing::Length,
+                "chunks" => Framing::Chunks,
+                _ => Framing::Connection,
+            },
             weights: weights.parse().map_err(io::Error::other)?,
-        },
+            harmful_part: Some(harmful_part.to_owned()).filter(|part| part != "none"),
+        }),
         _ => return Err(io::Error::other("unknown behaviour")),
     };
     let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -79,10 +101,7 @@
     let id = head.get("request-id").unwrap_or("none").to_owned();
     match behaviour {
         Behaviour::Orders(mood) => serve_order(stream, &id, &body, *mood),
-        Behaviour::Streams {
-            has_length,
-            weights,
-        } => serve_stream(stream, &head, &id, *has_length, *weights),
+        Behaviour::Streams(streams) => serve_stream(stream, &head, &id, streams),
     }
 }
 
@@ -119,29 +138,40 @@
     format!("{weights}id: {number}\ndata: token {number} of the answer\n\n")
 }
 
-fn serve_stream(
-    mut stream: TcpStream,
-    head: &Head,
-    id: &str,
-    has_length: bool,
-    weights: u32,
-) -> io::Result<()> {
+/// Writes a part of an answer's body.
+fn write_part(stream: &mut TcpStream, framing: Framing, part: &[u8]) -> io::Result<()> {
+    if framing != Framing::Chunks {
+        return stream.write_all(part);
+    }
+    let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+    chunk.extend_from_slice(part);
+    chunk.extend_from_slice(b"\r\n");
+    stream.write_all(&chunk)
+}
+
+fn serve_stream(mut stream: TcpStream, head: &Head, id: &str, streams: &Streams) -> io::Result<()> {
+    let (framing, weights) = (streams.framing, streams.weights);
     let after = head
         .get("last-event-id")
         .and_then(|text| text.parse::<u32>().ok());
     let first = after.map_or(1, |after| after + 1);
     let is_resumed = after.is_some();
+    let prompt = head.get("prompt-prefix").unwrap_or_default();
+    let is_harmful = streams
+        .harmful_part
+        .as_ref()
+        .is_some_and(|part| prompt.contains(part.as_str()));
     let text = |number| event(number, (is_resumed && number == first).then_some(weights));
     let length: usize = (first..=EVENTS).map(|number| text(number).len()).sum();
-    let framing = if has_length {
-        format!("Content-Length: {length}\r\n")
-    } else {
-        String::new()
+    let framing_field = match framing {
+        Framing::Length => format!("Content-Length: {length}\r\n"),
+        Framing::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+        Framing::Connection => String::new(),
     };
     say(&format!("runs {id} from event {first}"));
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: 3e1b.07\r\nContent-Type: text/event-stream\r\n\
-         Weight-Versions: {weights}\r\n{framing}\r\n"
+         Weight-Versions: {weights}\r\n{framing_field}\r\n"
     );
     stream.write_all(head.as_bytes())?;
     if is_resumed {
@@ -152,12 +182,19 @@
         thread::sleep(EVENT_TIME);
         let text = text(number);
         let (start, end) = text.as_bytes().split_at(text.len() / 2);
-        stream.write_all(start)?;
+        write_part(&mut stream, framing, start)?;
         if number == 6 && !is_resumed {
             say(&format!("halfway {id}"));
             thread::sleep(HALFWAY_PAUSE);
         }
-        stream.write_all(end)?;
+        write_part(&mut stream, framing, end)?;
+        if is_harmful {
+            say(&format!("crashes on {id}"));
+            std::process::exit(1);
+        }
+    }
+    if framing == Framing::Chunks {
+        stream.write_all(b"0\r\n\r\n")?;
     }
     say(&format!("ended {id}"));
     Ok(())
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -102,6 +102,19 @@
         changed.notify_all();
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let (state, changed) = &*self.shared;
+        let mut state = state.lock().expect("no holder panics");
+        let contents = &mut state.contents;
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents.items.remove(key);
+        let item = format!(r#"{{"key":"{key}","rev":{revision},"removed":true}}"#);
+        contents.history.push((revision, key.to_owned(), item));
+        changed.notify_all();
+    }
+
     pub fn copy(&self) -> StoreCopy {
         let (state, _) = &*self.shared;
         StoreCopy(state.lock().expect("no holder panics").contents.clone())
