--- a/crates/camphorwall-direct/src/serve/mod.rs
+++ b/crates/camphorwall-direct/src/serve/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod plain;
 pub(crate) mod prefill;
 pub(crate) mod refusal;
+pub(crate) mod relay;
 pub(crate) mod run;
 pub(crate) mod stream;
 
