Decide in one place whether an endpoint's answer is complete

Answers end with their connections.

Cause: an answer with neither a length nor chunks ends with its connection, and so does one whose endpoint crashes. `has_ended_early` took such an end for a crash only in a first run without an event. After any event, of an earlier run or by the caller's own Last-Event-Id, it counted as the regular end of the whole stream. Plain answers with this framing had no check at all.

Change: `serve/completeness.rs` decides by the framing of the run, where it stopped and whether it continues after an event; streams and plain answers ask it. An end that only the connection marks counts as complete if the endpoint still accepts a connection after the pause of the crash check; its crash is recorded by the same check. An empty rest clears no prompt part. Lines `stream_broke` and `answer_broke` give the reason, and the metric `broken_answers` counts by it. An answer with a length or in chunks is not checked, so it costs nothing.

Why it works: a crashed process accepts no connection, and one that has sent its whole answer does. Where an endpoint exits in the same moment, a resumable stream asks another endpoint, which has nothing left to send; any other answer counts as broken, as nothing shows that it was whole.

--- a/crates/camphorwall-direct/src/documentation_tests.rs
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -13,6 +13,7 @@
 use crate::{
     configuration::{RouteKind, Stage},
     metrics::{GaugeValues, Metrics, Notice, Phase},
+    serve::completeness::BreakReason,
 };
 
 fn page() -> String {
@@ -81,6 +82,7 @@
     let metrics = Metrics::default();
     // Families are written once they have a series.
     metrics.count_request(None, RequestEnd::Answered);
+    metrics.count_broken_answer(BreakReason::NoEvent);
     metrics.note_phase(RouteKind::Idempotent, Phase::Whole, Duration::ZERO);
     metrics.count_retry(true);
     metrics.count_notice(Notice::Leaving);
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -11,6 +11,7 @@
 use camphorwall::{
     BoxedBody, LogRing, OpenConnections, Stop, StopHandle, TaskGroup, empty_body, stop_pair,
 };
+use futures_channel::oneshot;
 use http::StatusCode;
 use hyper::Response;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
@@ -495,8 +496,7 @@
         });
     }
 
-    /// Checks in the background whether an endpoint that broke off a request after a number of events has crashed. An
-    /// endpoint that only lost an answer or reset a connection still accepts new connections.
+    /// Checks in the background whether an endpoint that broke off a request after a number of events has crashed.
     pub(crate) fn check_for_crash(
         self: &Rc<Self>,
         endpoint: &Endpoint,
@@ -504,6 +504,32 @@
         sent_at: Moment,
         events: u32,
     ) {
+        drop(self.begin_crash_check(endpoint, admitted, sent_at, events));
+    }
+
+    /// Returns whether an endpoint that ended its answer after a number of events is still reachable. A crash is recorded even
+    /// if the caller leaves meanwhile.
+    pub(crate) async fn is_still_reachable(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        admitted: &Admitted,
+        sent_at: Moment,
+        events: u32,
+    ) -> bool {
+        let check = self.begin_crash_check(endpoint, admitted, sent_at, events);
+        // The check is cancelled when the process ends.
+        check.await.unwrap_or(false)
+    }
+
+    /// Starts a check whether an endpoint still accepts connections. One that only lost an answer or reset a connection does.
+    fn begin_crash_check(
+        self: &Rc<Self>,
+        endpoint: &Endpoint,
+        admitted: &Admitted,
+        sent_at: Moment,
+        events: u32,
+    ) -> oneshot::Receiver<bool> {
+        let (result, receiver) = oneshot::channel();
         let broke_at = Moment::now();
         let entry = Rc::clone(self);
         let (id, address) = (endpoint.id.clone(), endpoint.address);
@@ -515,6 +541,8 @@
             let _check = check;
             compio::time::sleep(CRASH_CHECK_PAUSE).await;
             if Connection::open(address).await.is_ok() {
+                // The receiver may have been dropped.
+                let _ = result.send(true);
                 return;
             }
             let now = Moment::now();
@@ -532,7 +560,9 @@
             drop(poison);
             entry.work_changes.notify();
             entry.apply_suspect(&content);
+            let _ = result.send(false);
         });
+        receiver
     }
 
     /// Waits until it is known whether the endpoints that broke a request off have crashed, if another one crashed on it before.
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -20,6 +20,7 @@
 use crate::{
     configuration::{RouteKind, Stage},
     dialect::UnreadableReason,
+    serve::completeness::BreakReason,
 };
 
 /// Content type of `OpenMetrics` text.
@@ -112,6 +113,7 @@
 pub(crate) struct Metrics {
     registry: RefCell<Registry>,
     requests: Family<RequestLabels, Counter>,
+    broken_answers: Family<ReasonLabels, Counter>,
     phases: Family<PhaseLabels, Histogram>,
     retries: Family<ResultLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
@@ -164,6 +166,7 @@
         let metrics = Self {
             registry: RefCell::new(Registry::with_prefix(PREFIX)),
             requests: Family::default(),
+            broken_answers: Family::default(),
             phases: Family::new_with_constructor(phase_histogram),
             retries: Family::default(),
             notices: Family::default(),
@@ -210,6 +213,11 @@
             "Requests ended, by outcome",
             self.requests.clone(),
         );
+        registry.register(
+            "broken_answers",
+            "Answers of endpoints that were incomplete, by reason",
+            self.broken_answers.clone(),
+        );
         registry.register(
             "phase_seconds",
             "Parts of requests' time",
@@ -358,6 +366,14 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts an incomplete answer of an endpoint, whether or not another endpoint replaces or continues it.
+    pub(crate) fn count_broken_answer(&self, reason: BreakReason) {
+        let reason = reason.label();
+        self.broken_answers
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     /// Records the time of a part of a request.
     pub(crate) fn note_phase(&self, kind: RouteKind, phase: Phase, time: Duration) {
         let labels = PhaseLabels {
--- a/crates/camphorwall-direct/src/serve/mod.rs
+++ b/crates/camphorwall-direct/src/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Serves one caller's request from an endpoint, from its placement to the last byte.
 
+pub(crate) mod completeness;
 pub(crate) mod decode_timer;
 pub(crate) mod events;
 pub(crate) mod outcome;
@@ -10,6 +11,8 @@
 pub(crate) mod run;
 pub(crate) mod stream;
 
+#[cfg(test)]
+mod completeness_tests;
 #[cfg(test)]
 mod decode_timer_tests;
 #[cfg(test)]
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -279,20 +279,19 @@
     }
 }
 
-/// Records how long work took since a moment, beside what its choice expected. Choices that did not compare expected times
+/// Records how long work took, beside what its choice expected. Choices that did not compare expected times
 /// have no expectation.
 pub(crate) fn note_actual_time(
     entry: &Entry,
     admitted: &Admitted,
     endpoint: &Endpoint,
     expectation: Option<Expectation>,
-    since: Moment,
+    time: Duration,
 ) {
     let Some(expected) = expectation else { return };
-    let now = Moment::now();
-    let time = now.since(since);
     let mut speeds = entry.speeds.borrow_mut();
-    speeds.observe(endpoint, expected.size, time.div_f64(expected.waves), now);
+    let size_time = time.div_f64(expected.waves);
+    speeds.observe(endpoint, expected.size, size_time, Moment::now());
     admitted
         .request_log
         .expected_time
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -25,10 +25,11 @@
     request::{Admitted, TRANSIENT_RETRY_AFTER},
     request_log::RequestLog,
     serve::{
+        completeness::{AnswerEnd, BreakReason, StopPoint},
         outcome::{AttemptOutcome, Progress, attempt, note_actual_time},
         refusal::Refusal,
     },
-    upstream::{Answer, AnswerBody},
+    upstream::{Answer, AnswerBody, Framing},
 };
 
 /// Maximum size of an answer that is read completely before it is passed on. A larger one, or any while answers fill their
@@ -95,9 +96,9 @@
                 match deliver(entry, admitted, placement, answer, sent_at).await {
                     Ok(delivery) if is_failure && can_retry => Some(delivery),
                     Ok(delivery) => {
-                        if is_success && delivery.is_complete {
-                            let expected = expectation.get();
-                            note_actual_time(entry, admitted, &endpoint, expected, sent_at);
+                        if let Some(read_at) = delivery.read_at.filter(|_| is_success) {
+                            let (expected, took) = (expectation.get(), read_at.since(sent_at));
+                            note_actual_time(entry, admitted, &endpoint, expected, took);
                         }
                         return Ok(delivery.finish(admitted));
                     }
@@ -262,14 +263,14 @@
 /// An answer that is ready to be passed on to the caller.
 struct Delivery {
     response: Response<BoxedBody>,
-    /// Whether the body has been read completely; otherwise the body stream records the request's end.
-    is_complete: bool,
+    /// When the body had been read completely; otherwise the body stream records the request's end.
+    read_at: Option<Moment>,
 }
 
 impl Delivery {
     /// Returns the answer as the final one, and records the request's end if the body is complete.
     fn finish(self, admitted: &Admitted) -> Response<BoxedBody> {
-        if self.is_complete {
+        if self.read_at.is_some() {
             let status = self.response.status();
             admitted
                 .request_log
@@ -292,19 +293,31 @@
         mut parts,
         mut body,
     } = answer;
-    let now = Moment::now();
     let endpoint = placement.endpoint.id.clone();
     let mut memory = entry.memory.share();
     let start = body
         .read_start(|bytes| bytes <= MAX_BUFFERED_BYTES && memory.grow_answer_to(bytes))
-        .await
-        .inspect_err(|error| {
-            tracing::info!(event = "answer_broke", request_id = admitted.id(), %endpoint, %error);
-            entry.suspicions.borrow_mut().note_failure(&endpoint, now);
-            entry.check_for_crash(&placement.endpoint, admitted, sent_at, BROKEN_ANSWER_EVENTS);
-        })?;
+        .await;
+    let read_at = Moment::now();
+    let source = AnswerSource {
+        entry: Rc::clone(entry),
+        admitted: Rc::clone(admitted),
+        placement,
+        sent_at,
+    };
+    let start = match start {
+        Ok(start) if !start.is_complete => start,
+        read => {
+            source
+                .check_end(body.framing(), read.as_ref().err())
+                .await?;
+            read?
+        }
+    };
     if !parts.status.is_server_error() {
-        entry.suspicions.borrow_mut().note_success(&endpoint, now);
+        let mut suspicions = entry.suspicions.borrow_mut();
+        suspicions.note_success(&endpoint, Moment::now());
+        drop(suspicions);
         if start.is_complete {
             note_answered(entry, admitted);
         }
@@ -316,14 +329,11 @@
         parts.headers.remove(header::CONTENT_LENGTH);
         return Ok(Delivery {
             response: Response::from_parts(parts, held_body(start.bytes, memory)),
-            is_complete: true,
+            read_at: Some(read_at),
         });
     }
     let passed_on = PassedOnAnswer {
-        entry: Rc::clone(entry),
-        admitted: Rc::clone(admitted),
-        placement,
-        sent_at,
+        source,
         is_success: !parts.status.is_server_error(),
         start: Some((start.bytes, memory)),
         body,
@@ -334,7 +344,7 @@
     });
     Ok(Delivery {
         response: Response::from_parts(parts, stream_body(body)),
-        is_complete: false,
+        read_at: None,
     })
 }
 
@@ -362,12 +372,55 @@
     }))
 }
 
-/// An answer that is passed on as it arrives.
-struct PassedOnAnswer {
+/// The attempt that an answer came from.
+struct AnswerSource {
     entry: Rc<Entry>,
     admitted: Rc<Admitted>,
     placement: Placement,
     sent_at: Moment,
+}
+
+impl AnswerSource {
+    /// Checks whether an answer that ended, perhaps with an error, is complete, and records it if not.
+    async fn check_end(&self, framing: Framing, error: Option<&io::Error>) -> io::Result<()> {
+        let end = AnswerEnd {
+            framing,
+            has_framed_end: error.is_none(),
+            stop_point: StopPoint::InBody,
+            is_resumed: false,
+        };
+        let (entry, admitted) = (&self.entry, &self.admitted);
+        let endpoint = &self.placement.endpoint;
+        let (sent_at, events) = (self.sent_at, BROKEN_ANSWER_EVENTS);
+        let is_reachable = entry.is_still_reachable(endpoint, admitted, sent_at, events);
+        let Err(reason) = end.check(is_reachable).await else {
+            return Ok(());
+        };
+        tracing::info!(
+            event = "answer_broke",
+            request_id = admitted.id(),
+            endpoint = %endpoint.id,
+            reason = reason.label(),
+            error = error.map(tracing::field::display),
+        );
+        entry.metrics.count_broken_answer(reason);
+        let has_timed_out = error.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut);
+        // An unreachable endpoint has been checked, and its crash recorded.
+        if reason != BreakReason::EndpointUnreachable {
+            let mut suspicions = entry.suspicions.borrow_mut();
+            suspicions.note_failure(&endpoint.id, Moment::now());
+            drop(suspicions);
+            if !has_timed_out {
+                entry.check_for_crash(endpoint, admitted, sent_at, events);
+            }
+        }
+        Err(io::Error::other(reason.label()))
+    }
+}
+
+/// An answer that is passed on as it arrives.
+struct PassedOnAnswer {
+    source: AnswerSource,
     is_success: bool,
     /// What has been read, until it is passed on, with its memory.
     start: Option<(Bytes, MemoryShare)>,
@@ -380,33 +433,28 @@
         if let Some((bytes, _)) = self.start.take() {
             return Some(Ok(bytes));
         }
-        let next = compio::time::timeout(self.admitted.time_left(), self.body.next()).await;
-        let next = next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        match &next {
-            Ok(Some(_)) => {}
-            Ok(None) => {
+        let AnswerSource {
+            entry, admitted, ..
+        } = &self.source;
+        let next = compio::time::timeout(admitted.time_left(), self.body.next()).await;
+        let error = match next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
+            Ok(Some(bytes)) => return Some(Ok(bytes)),
+            Ok(None) => None,
+            Err(error) => Some(error),
+        };
+        let checked = self.source.check_end(self.body.framing(), error.as_ref());
+        match checked.await {
+            Ok(()) => {
                 if self.is_success {
-                    note_answered(&self.entry, &self.admitted);
+                    note_answered(entry, admitted);
                 }
-                self.admitted.request_log.end(200, RequestEnd::Answered, 0);
+                admitted.request_log.end(200, RequestEnd::Answered, 0);
+                None
+            }
+            Err(error) => {
+                admitted.request_log.end(200, RequestEnd::BrokeOff, 0);
+                Some(Err(error))
             }
-            Err(error) => self.note_broken_off(error),
-        }
-        next.transpose()
-    }
-
-    /// Records that the endpoint did not finish the answer, also if it sent bytes up to the deadline.
-    fn note_broken_off(&self, error: &io::Error) {
-        let endpoint = &self.placement.endpoint.id;
-        tracing::info!(event = "answer_broke", request_id = self.admitted.id(), %endpoint, %error);
-        let mut suspicions = self.entry.suspicions.borrow_mut();
-        suspicions.note_failure(endpoint, Moment::now());
-        drop(suspicions);
-        if error.kind() != io::ErrorKind::TimedOut {
-            let (endpoint, sent_at) = (&self.placement.endpoint, self.sent_at);
-            let entry = &self.entry;
-            entry.check_for_crash(endpoint, &self.admitted, sent_at, BROKEN_ANSWER_EVENTS);
         }
-        self.admitted.request_log.end(200, RequestEnd::BrokeOff, 0);
     }
 }
--- a/crates/camphorwall-direct/src/serve/prefill.rs
+++ b/crates/camphorwall-direct/src/serve/prefill.rs
@@ -180,7 +180,8 @@
     since: Moment,
 ) {
     let Some(expected) = expectation else { return };
-    let evidence = expected.cache_evidence(ms(Moment::now().since(since)));
+    let took = Moment::now().since(since);
+    let evidence = expected.cache_evidence(ms(took));
     admitted.request_log.held_tokens.set(expected.held_tokens);
     if expected.held_tokens > 0 {
         let was_held = evidence != CacheEvidence::Missed;
@@ -189,7 +190,7 @@
         prefixes.note_evidence(endpoint.incarnation(), was_held);
     }
     if evidence == CacheEvidence::Expected {
-        note_actual_time(entry, admitted, endpoint, expectation, since);
+        note_actual_time(entry, admitted, endpoint, expectation, took);
     }
 }
 
--- a/crates/camphorwall-direct/src/serve/relay.rs
+++ b/crates/camphorwall-direct/src/serve/relay.rs
@@ -21,6 +21,7 @@
     memory_pool::MemoryShare,
     request::Admitted,
     serve::{
+        completeness::{AnswerEnd, BreakReason, StopPoint},
         decode_timer::DecodeTimer,
         events::EventSplitter,
         outcome::Progress,
@@ -36,6 +37,14 @@
 /// Size up to which an incomplete event is held even if the memory is full; token events have some hundred bytes.
 const USUAL_EVENT_BYTES: usize = 4 * 1024;
 
+/// What followed the end of an endpoint's answer.
+enum RunEnd {
+    /// The stream is complete.
+    Complete,
+    /// Another endpoint continues it.
+    Resumed,
+}
+
 /// Passes a stream on to the caller, and resumes it at another endpoint when it breaks.
 struct StreamRelay {
     entry: Rc<Entry>,
@@ -154,24 +163,14 @@
                     self.last_event_id = events.last_id.or(self.last_event_id);
                     return Some(Ok(events.bytes));
                 }
-                Ok(Ok(None)) if self.has_ended_early() => {
-                    let error =
-                        io::Error::other("it ended inside an event or before the first one");
-                    if let Err(refusal) = self.resume(&error).await {
-                        return Some(Err(self.cut(refusal.reason)));
+                Ok(end) => match self.end_run(end.err()).await {
+                    Ok(RunEnd::Complete) => {
+                        let rest = self.splitter.take_rest();
+                        return (!rest.is_empty()).then_some(Ok(rest));
                     }
-                }
-                Ok(Ok(None)) => {
-                    self.note_complete();
-                    self.opened = None;
-                    let rest = self.splitter.take_rest();
-                    return (!rest.is_empty()).then_some(Ok(rest));
-                }
-                Ok(Err(error)) => {
-                    if let Err(refusal) = self.resume(&error).await {
-                        return Some(Err(self.cut(refusal.reason)));
-                    }
-                }
+                    Ok(RunEnd::Resumed) => {}
+                    Err(refusal) => return Some(Err(self.cut(refusal.reason))),
+                },
                 Err(_) if wait < left && has_stood_still(now + wait, Moment::now()) => {
                     self.pauses.restart(Moment::now());
                 }
@@ -195,12 +194,50 @@
         can_resume.then(|| self.admitted.stalled_at(&self.pauses))
     }
 
-    /// Whether a stream that ended was broken off. An answer without an announced length ends with its connection, so its
-    /// framing doesn't show this.
-    fn has_ended_early(&self) -> bool {
-        let resumed_after = self.last_event_id.or(self.admitted.facts.last_event_id);
-        let is_empty = self.run_events == 0 && resumed_after.is_none();
-        self.is_event_stream && (is_empty || self.splitter.is_inside_event())
+    /// Handles the end of the present endpoint's answer: notes that the stream is complete, or resumes it elsewhere.
+    async fn end_run(&mut self, error: Option<io::Error>) -> Result<RunEnd, Refusal> {
+        let Some((placement, body)) = self.opened.take() else {
+            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
+        };
+        let endpoint = Rc::clone(&placement.endpoint);
+        let end = AnswerEnd {
+            framing: body.framing(),
+            has_framed_end: error.is_none(),
+            stop_point: self.stop_point(),
+            is_resumed: self
+                .last_event_id
+                .or(self.admitted.facts.last_event_id)
+                .is_some(),
+        };
+        // Frees the place and closes the connection before the check.
+        drop((placement, body));
+        let is_reachable =
+            self.entry
+                .is_still_reachable(&endpoint, &self.admitted, self.sent_at, self.run_events);
+        match (end.check(is_reachable).await, error) {
+            (Ok(()), _) => {
+                self.note_complete(&endpoint);
+                Ok(RunEnd::Complete)
+            }
+            (Err(reason), error) => {
+                self.leave_endpoint(&endpoint, reason, error);
+                self.resume(&endpoint, reason).await?;
+                Ok(RunEnd::Resumed)
+            }
+        }
+    }
+
+    /// Where the present endpoint's answer has come to.
+    fn stop_point(&self) -> StopPoint {
+        if !self.is_event_stream {
+            StopPoint::InBody
+        } else if self.splitter.is_inside_event() {
+            StopPoint::InsideEvent
+        } else if self.run_events == 0 {
+            StopPoint::BeforeFirstEvent
+        } else {
+            StopPoint::BetweenEvents
+        }
     }
 
     /// Records the time that the engine takes for an event, where choices compare expected times.
@@ -239,7 +276,7 @@
         }
     }
 
-    fn note_complete(&mut self) {
+    fn note_complete(&self, endpoint: &Endpoint) {
         let generated = self.events.saturating_mul(self.event_tokens);
         if let Some(estimate) = self.admitted.facts.output_estimate_tokens {
             let mut lengths = self.entry.lengths.borrow_mut();
@@ -256,14 +293,16 @@
         let elapsed = Moment::now().since(self.admitted.arrived_at);
         self.entry
             .note_time_per_token(generated, elapsed.saturating_sub(time_to_head));
-        if let Some((placement, _)) = &self.opened {
-            let mut suspicions = self.entry.suspicions.borrow_mut();
-            suspicions.note_success(&placement.endpoint.id, Moment::now());
-        }
+        let mut suspicions = self.entry.suspicions.borrow_mut();
+        suspicions.note_success(&endpoint.id, Moment::now());
+        drop(suspicions);
         let content = &self.admitted.content;
         let mut poison = self.entry.poison.borrow_mut();
         let outcome = if self.status.is_success() {
-            poison.note_answer(content, self.run_events);
+            // An endpoint that had nothing left to send began no answer, which it might have crashed on.
+            if !self.is_event_stream || self.run_events > 0 {
+                poison.note_answer(content, self.run_events);
+            }
             RequestEnd::Answered
         } else {
             poison.note_end(content.fingerprint);
@@ -278,7 +317,11 @@
         if let Some((placement, _)) = &self.opened {
             let endpoint = &placement.endpoint.id;
             tracing::info!(event = "event_too_large", request_id = self.admitted.id(), %endpoint);
-            let mut suspicions = self.entry.suspicions.borrow_mut();
+            let entry = &self.entry;
+            entry
+                .metrics
+                .count_broken_answer(BreakReason::EventTooLarge);
+            let mut suspicions = entry.suspicions.borrow_mut();
             suspicions.note_failure(endpoint, Moment::now());
         }
         self.cut(RequestEnd::BrokeOff)
@@ -290,18 +333,16 @@
         io::Error::other(reason.label())
     }
 
-    /// Continues a stream whose connection broke.
-    async fn resume(&mut self, error: &io::Error) -> Result<(), Refusal> {
-        let Some(endpoint) = self.leave_endpoint(error) else {
-            return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
-        };
-        let now = Moment::now();
-        self.entry
-            .suspicions
-            .borrow_mut()
-            .note_failure(&endpoint.id, now);
-        self.entry
-            .check_for_crash(&endpoint, &self.admitted, self.sent_at, self.run_events);
+    /// Continues a stream whose endpoint broke it off.
+    async fn resume(&mut self, endpoint: &Endpoint, reason: BreakReason) -> Result<(), Refusal> {
+        // An unreachable endpoint has been checked, and its crash recorded.
+        if reason != BreakReason::EndpointUnreachable {
+            let mut suspicions = self.entry.suspicions.borrow_mut();
+            suspicions.note_failure(&endpoint.id, Moment::now());
+            drop(suspicions);
+            self.entry
+                .check_for_crash(endpoint, &self.admitted, self.sent_at, self.run_events);
+        }
         let can_retry = self.progress.may_retry(&self.admitted);
         let fingerprint = self.admitted.content.fingerprint;
         self.entry.await_crash_checks(fingerprint).await;
@@ -314,30 +355,38 @@
 
     /// Continues a stream whose endpoint sends nothing, with a retry that has been taken.
     async fn resume_stalled(&mut self) -> Result<(), Refusal> {
-        let Some(endpoint) = self.leave_endpoint(&"no event for too long") else {
+        let Some((placement, _)) = self.opened.take() else {
             return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
         };
+        let endpoint = &placement.endpoint;
+        self.leave_endpoint(endpoint, BreakReason::Stalled, None);
         self.entry
             .suspicions
             .borrow_mut()
             .note_unresponsive(&endpoint.id, Moment::now());
+        drop(placement);
         self.reopen().await
     }
 
-    /// Closes the connection to the stream's endpoint and excludes it.
-    fn leave_endpoint(&mut self, error: &dyn std::fmt::Display) -> Option<Rc<Endpoint>> {
-        let (placement, _) = self.opened.take()?;
-        let endpoint = Rc::clone(&placement.endpoint);
+    /// Excludes an endpoint that broke the stream off.
+    fn leave_endpoint(
+        &mut self,
+        endpoint: &Endpoint,
+        reason: BreakReason,
+        error: Option<io::Error>,
+    ) {
         tracing::info!(
             event = "stream_broke",
             request_id = self.admitted.id(),
             endpoint = %endpoint.id,
             events = self.events,
-            %error,
+            run_events = self.run_events,
+            reason = reason.label(),
+            error = error.map(tracing::field::display),
         );
+        self.entry.metrics.count_broken_answer(reason);
         self.splitter = EventSplitter::default();
         self.progress.excluded.push(endpoint.id.clone());
-        Some(endpoint)
     }
 
     /// Opens the stream again, after its last complete event.
--- a/crates/camphorwall-direct/src/upstream.rs
+++ b/crates/camphorwall-direct/src/upstream.rs
@@ -62,6 +62,17 @@
     },
 }
 
+/// How an answer announces the end of its body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Framing {
+    /// By a length, or by a status that allows no body.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// Only by the end of the connection.
+    Connection,
+}
+
 /// An answer whose body is still to be read. Dropping it closes the connection.
 pub(crate) struct Answer {
     pub(crate) parts: http::response::Parts,
@@ -72,8 +83,7 @@
 pub(crate) struct AnswerBody {
     incoming: Incoming,
     meter: ReadMeter,
-    /// Whether the end of the connection is the only end of the body.
-    ends_with_connection: bool,
+    framing: Framing,
     /// Whether the HTTP library has taken the whole body of the request.
     is_request_taken: Rc<Cell<bool>>,
     /// Dropping the handle ends the task, which closes the connection.
@@ -81,6 +91,10 @@
 }
 
 impl AnswerBody {
+    pub(crate) const fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// The next bytes; `None` once the answer is complete.
     ///
     /// If the connection is reset while the request is being written, the write takes the error from the socket, and the next
@@ -93,7 +107,7 @@
             }
         }
         let is_sent = self.is_request_taken.get() && self.meter.has_sent_all();
-        if self.ends_with_connection && !is_sent {
+        if self.framing == Framing::Connection && !is_sent {
             return Err(io::Error::new(
                 io::ErrorKind::ConnectionReset,
                 "the connection ended before the request was sent; the answer may be incomplete",
@@ -259,9 +273,7 @@
         }
         self.meter.begin_body();
         let body = AnswerBody {
-            // The exact size is known of a body with a length, and of one that has no bytes by its status.
-            ends_with_connection: ends_with_connection(&parts)
-                && incoming.size_hint().exact().is_none(),
+            framing: framing(&parts, &incoming),
             incoming,
             meter: self.meter,
             is_request_taken,
@@ -271,10 +283,14 @@
     }
 }
 
-/// Whether a head announces neither the length of its body nor chunks.
-fn ends_with_connection(parts: &http::response::Parts) -> bool {
-    !parts.headers.contains_key(header::CONTENT_LENGTH)
-        && !parts.headers.contains_key(header::TRANSFER_ENCODING)
+fn framing(parts: &http::response::Parts, body: &Incoming) -> Framing {
+    if body.size_hint().exact().is_some() {
+        Framing::Length
+    } else if parts.headers.contains_key(header::TRANSFER_ENCODING) {
+        Framing::Chunked
+    } else {
+        Framing::Connection
+    }
 }
 
 /// Connects, sends a request and waits for the head of its answer.
