Answer 502 when an endpoint refuses an order without stating that it has not run

Cause: `classify` decided by the endpoint's statement only whether it may send the request elsewhere. Without one, any status but an unsigned success was passed on, also those whose meaning is that statement.

The endpoint counts as failing, since each order that it answers so fails. The new event is `refusal_unconfirmed`, the metric `unconfirmed_refusals`. Idempotent requests and resumable streams keep the endpoint's status, signature and Retry-After.

Of the entry's own refusals after a send, `larger_than_any_endpoint` said 503 whatever had run before; it now follows `Progress::give_up` like the others.

--- a/crates/camphorwall-direct/src/documentation_tests.rs
+++ b/crates/camphorwall-direct/src/documentation_tests.rs
@@ -8,6 +8,7 @@
 };
 
 use camphorwall::RequestEnd;
+use http::StatusCode;
 use strum::IntoEnumIterator as _;
 
 use crate::{
@@ -83,6 +84,7 @@
     // Families are written once they have a series.
     metrics.count_request(None, RequestEnd::Answered);
     metrics.count_broken_answer(BreakReason::NoEvent);
+    metrics.count_unconfirmed_refusal(StatusCode::SERVICE_UNAVAILABLE);
     metrics.note_phase(RouteKind::Idempotent, Phase::Whole, Duration::ZERO);
     metrics.count_retry(true);
     metrics.count_notice(Notice::Leaving);
--- a/crates/camphorwall-direct/src/metrics.rs
+++ b/crates/camphorwall-direct/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, sync::atomic::AtomicU64, time::Duration};
 
 use camphorwall::{BoxedBody, RequestEnd, full_body};
-use http::{HeaderValue, header};
+use http::{HeaderValue, StatusCode, header};
 use hyper::Response;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -51,6 +51,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct StatusLabels {
+    status: u16,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct StageLabels {
     stage: &'static str,
@@ -114,6 +119,7 @@
     registry: RefCell<Registry>,
     requests: Family<RequestLabels, Counter>,
     broken_answers: Family<ReasonLabels, Counter>,
+    unconfirmed_refusals: Family<StatusLabels, Counter>,
     phases: Family<PhaseLabels, Histogram>,
     retries: Family<ResultLabels, Counter>,
     notices: Family<NoticeLabels, Counter>,
@@ -167,6 +173,7 @@
             registry: RefCell::new(Registry::with_prefix(PREFIX)),
             requests: Family::default(),
             broken_answers: Family::default(),
+            unconfirmed_refusals: Family::default(),
             phases: Family::new_with_constructor(phase_histogram),
             retries: Family::default(),
             notices: Family::default(),
@@ -218,6 +225,11 @@
             "Answers of endpoints that were incomplete, by reason",
             self.broken_answers.clone(),
         );
+        registry.register(
+            "unconfirmed_refusals",
+            "Refusals of endpoints that may have run the request, replaced by 502, by status",
+            self.unconfirmed_refusals.clone(),
+        );
         registry.register(
             "phase_seconds",
             "Parts of requests' time",
@@ -374,6 +386,14 @@
             .inc();
     }
 
+    /// Counts a refusal of a request that must not run twice, from an endpoint that doesn't state that it has not run.
+    pub(crate) fn count_unconfirmed_refusal(&self, status: StatusCode) {
+        let status = status.as_u16();
+        self.unconfirmed_refusals
+            .get_or_create(&StatusLabels { status })
+            .inc();
+    }
+
     /// Records the time of a part of a request.
     pub(crate) fn note_phase(&self, kind: RouteKind, phase: Phase, time: Duration) {
         let labels = PhaseLabels {
--- a/crates/camphorwall-direct/src/serve/outcome.rs
+++ b/crates/camphorwall-direct/src/serve/outcome.rs
@@ -330,6 +330,17 @@
     }
 }
 
+/// Whether callers take a status for the promise that the request has not run and won't.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 fn classify(
     entry: &Rc<Entry>,
     admitted: &Admitted,
@@ -374,7 +385,23 @@
             is_full: !is_other_endpoint,
         };
     }
-    let is_success = answer.parts.status.is_success();
+    let status = answer.parts.status;
+    if is_refusal(status) && !admitted.route.kind.may_retry() {
+        // The caller would take the status for a promise and send the request again.
+        tracing::info!(
+            event = "refusal_unconfirmed",
+            request_id = admitted.id(),
+            endpoint = %endpoint.id,
+            status = status.as_u16(),
+            is_own = is_for_request,
+            is_signed = facts.is_signed,
+        );
+        entry.metrics.count_unconfirmed_refusal(status);
+        let mut suspicions = entry.suspicions.borrow_mut();
+        suspicions.note_failure(&endpoint.id, now);
+        return AttemptOutcome::Failed;
+    }
+    let is_success = status.is_success();
     let is_encoded = answer.parts.headers.contains_key(header::CONTENT_ENCODING);
     if !is_for_request || is_encoded || (is_success && !facts.is_signed) {
         tracing::info!(
@@ -390,7 +417,7 @@
             .note_failure(&endpoint.id, now);
         return AttemptOutcome::Failed;
     }
-    if answer.parts.status.is_server_error() {
+    if status.is_server_error() {
         entry
             .suspicions
             .borrow_mut()
--- a/crates/camphorwall-direct/src/serve/stream.rs
+++ b/crates/camphorwall-direct/src/serve/stream.rs
@@ -314,10 +314,8 @@
     let delivered = last_event_id.map_or(0, |id| id.saturating_mul(limits.event_tokens));
     let expected = expected_run(entry, admitted, delivered);
     if u64::from(expected.run.held_tokens) > limits.kv_capacity_tokens {
-        return Err(Refusal::not_run(
-            RequestEnd::LargerThanAnyEndpoint,
-            OVERSIZED_RETRY_AFTER,
-        ));
+        let reason = RequestEnd::LargerThanAnyEndpoint;
+        return Err(progress.give_up(reason, OVERSIZED_RETRY_AFTER));
     }
     let has_endpoints = {
         let registry = entry.registry.borrow();
--- a/crates/camphorwall/src/request_end.rs
+++ b/crates/camphorwall/src/request_end.rs
@@ -147,7 +147,7 @@
                 "the configuration in force has no such route; the field configuration states its version"
             }
             Self::NoWholeAnswer => {
-                "an attempt may have run and returned no complete answer; attempt_failed or answer_not_usable states why"
+                "an attempt may have run and returned no usable answer; attempt_failed, answer_broke, answer_not_usable or refusal_unconfirmed states why"
             }
             Self::OverQuota => {
                 "the team used up its rate and burst; over_quota states its level and contract"
