Pass on an endpoint's failure when no other endpoint is left to retry

What callers saw: a read whose only endpoint answered 503 with Retry-After got 502 without it. With a second endpoint that failed too, it got that one's answer.

Cause: the endpoint's answer was dropped before the entry looked for another endpoint.

Change: the answer is kept until another endpoint has the request, and passed on if there is none. It has its status, its signature and its Retry-After.

Evidence: the /read/ cases of status 503 of `a_refusal_without_proof_is_passed_on_only_if_the_request_may_run_twice` no longer set max_attempts to 1; without the change these three fail with 502.

--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -72,9 +72,13 @@
     progress: &mut Progress,
 ) -> Result<Response<BoxedBody>, Refusal> {
     let expectation = Cell::new(None);
+    let mut failure: Option<Delivery> = None;
     loop {
         let next = next_place(entry, admitted, progress, &expectation);
         let Some(placement) = next.await? else {
+            if let Some(failure) = failure {
+                return Ok(failure.finish(admitted));
+            }
             let stage = admitted.stage();
             return Err(progress.no_endpoint(entry, admitted, stage, TRANSIENT_RETRY_AFTER));
         };
@@ -89,7 +93,7 @@
             attempt_once(entry, admitted, &endpoint).await
         };
         note_outcome(entry, admitted, &endpoint, sent_at, &outcome);
-        let failure = match outcome {
+        failure = match outcome {
             AttemptOutcome::Answered(answer) => {
                 let is_failure = answer.parts.status.is_server_error();
                 let is_success = answer.parts.status.is_success();
