Don't announce the first run's length for a stream that another run may continue

Cause: `relay` passed the head of the first run on with its Content-Length. The HTTP library ends the body there, whatever follows, and the same length keeps the entry from saying that a shorter rest broke off.

Change: while another run may follow, the head has no length, so that the answer goes out in chunks. An answer that no other run may continue (not resumable, attempts used up, not a stream of events) keeps its length.

Why it works: the length belongs to one run's body. The end of chunks is written only when the whole answer is complete, and anything else shows as broken off.

Evidence: `a_stream_is_not_cut_at_the_length_of_its_first_run`: 15 of its 18 cases fail on the code before, those whose first run has a length; all pass now.

--- a/crates/camphorwall-direct/src/serve/relay.rs
+++ b/crates/camphorwall-direct/src/serve/relay.rs
@@ -84,6 +84,11 @@
     } = opened;
     remove_connection_headers(&mut parts.headers);
     parts.version = http::Version::HTTP_11;
+    let is_event_stream = is_event_stream(&parts);
+    if is_event_stream && progress.may_retry(&admitted) {
+        // Another endpoint may send a rest of another size.
+        parts.headers.remove(header::CONTENT_LENGTH);
+    }
     let engine = admitted.service_facts.engine;
     let event_tokens = engine.and_then(|limits| u32::try_from(limits.event_tokens).ok());
     let relay = StreamRelay {
@@ -91,7 +96,7 @@
         admitted,
         progress,
         status: parts.status,
-        is_event_stream: is_event_stream(&parts),
+        is_event_stream,
         splitter: EventSplitter::default(),
         event_memory: entry.memory.share(),
         event_tokens: event_tokens.unwrap_or(0),
