Resume a stream only after numbered events

What callers could see: on a resumable route, an answer that is no stream of events broke off in its body, or events without numbers did, and another endpoint's run from the start was joined to it: the start came twice, or events stood behind the start of a JSON text.

Cause: `resume` asked only whether attempts are left. Without the number of an event, the next run begins at the first.

Change: another run follows only in a stream of events, and only if none has been passed on or the last number is known; anything else is broken off. A block of comments is no event, so that a stream that began with one may still begin anew.

--- a/crates/camphorwall-direct/src/serve/events.rs
+++ b/crates/camphorwall-direct/src/serve/events.rs
@@ -13,6 +13,9 @@
 /// of streams.
 const MAX_EVENT_BYTES: usize = 64 * 1_024;
 
+/// Start of a line that is a comment.
+const COMMENT: &[u8] = b":";
+
 /// Field with an event's number.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -32,7 +35,7 @@
 pub(crate) struct Events {
     /// Bytes of the events.
     pub bytes: Bytes,
-    /// Number of events. Further empty lines between them are none.
+    /// Number of events. Further empty lines and comments between them are none.
     pub count: u32,
     /// Number of the last event that has one.
     pub last_id: Option<u64>,
@@ -56,15 +59,15 @@
         };
         let complete = self.held.split_to(end).freeze();
         let mut events = Events::default();
-        let mut has_lines = false;
+        let mut has_fields = false;
         for line in complete.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             match line.strip_prefix(ID_FIELD) {
-                _ if line.is_empty() => events.count += u32::from(has_lines),
+                _ if line.is_empty() => events.count += u32::from(has_fields),
                 Some(id) => events.last_id = parse(id).or(events.last_id),
                 None => {}
             }
-            has_lines = !line.is_empty();
+            has_fields = !line.is_empty() && (has_fields || !line.starts_with(COMMENT));
         }
         events.bytes = complete;
         Ok(events)
--- a/crates/camphorwall-direct/src/serve/relay.rs
+++ b/crates/camphorwall-direct/src/serve/relay.rs
@@ -152,7 +152,7 @@
                         continue;
                     }
                     if events.count == 0 {
-                        // Empty lines are passed on, but show no progress.
+                        // Empty lines and comments are passed on, but show no progress.
                         return Some(Ok(events.bytes));
                     }
                     placement.advance(events.count.saturating_mul(self.event_tokens));
@@ -193,9 +193,16 @@
         }
     }
 
+    /// Whether another endpoint may continue the stream. It can't if the events that the caller has are not numbered, or the
+    /// answer is something else than events.
+    fn can_continue(&self) -> bool {
+        let is_numbered = self.events == 0 || self.last_event_id.is_some();
+        self.is_event_stream && is_numbered && self.progress.may_retry(&self.admitted)
+    }
+
     /// Moment from which the endpoint is given up if it sends nothing; `None` if no other endpoint may continue.
     fn stalled_at(&self) -> Option<Moment> {
-        let can_resume = !self.waits_out_stall && self.progress.may_retry(&self.admitted);
+        let can_resume = !self.waits_out_stall && self.can_continue();
         can_resume.then(|| self.admitted.stalled_at(&self.pauses))
     }
 
@@ -348,11 +355,11 @@
             self.entry
                 .check_for_crash(endpoint, &self.admitted, self.sent_at, self.run_events);
         }
-        let can_retry = self.progress.may_retry(&self.admitted);
+        let can_continue = self.can_continue();
         let fingerprint = self.admitted.content.fingerprint;
         self.entry.await_crash_checks(fingerprint).await;
         let is_blocked = self.admitted.block(&self.entry).is_some();
-        if !can_retry || is_blocked || !self.entry.take_retry(&self.admitted.service) {
+        if !can_continue || is_blocked || !self.entry.take_retry(&self.admitted.service) {
             return Err(Refusal::may_have_run(RequestEnd::BrokeOff));
         }
         self.reopen().await
