Reset the connection of an HTTP/1.0 caller whose answer breaks off

What callers could see: HTTP/1.0 has no chunks, so an answer without a length ends with its connection. When its endpoint crashed, the entry closed the connection in order, and the answer looked complete.

Change: from the head of such an answer to its end, the caller's socket is set to be reset when it is closed. This covers errors, a stop of the entry and the end of its process. An answer that is complete closes in order as before.

--- a/crates/camphorwall/src/http.rs
+++ b/crates/camphorwall/src/http.rs
@@ -18,7 +18,7 @@
 use futures_util::{FutureExt as _, Stream, StreamExt as _, stream::FuturesUnordered};
 use http_body_util::{BodyExt as _, Full, StreamBody};
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
     service::service_fn,
@@ -430,10 +430,12 @@
     let meter = open.meter.clone();
     let service_meter = meter.clone();
     let connection_open = Rc::clone(open);
+    let socket = stream.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         connection_open.has_sent_request.set(true);
         service_unread_since.0.set(None);
         service_meter.begin_body();
+        let request_version = request.version();
         let end = Rc::new(RequestEnded(service_meter.clone()));
         let response = handler(request.map(|incoming| RequestBody {
             incoming,
@@ -441,13 +443,18 @@
             _end: Rc::clone(&end),
         }));
         let unread_since = service_unread_since.clone();
+        let (version, socket) = (request_version, socket.clone());
         async move {
+            let response = response.await;
+            let unfinished = (version == Version::HTTP_10 && !has_known_length(&response))
+                .then(|| ResetOnClose::begin(socket));
             let watch = |body| WatchedBody {
                 body,
                 unread_since,
+                unfinished,
                 _end: end,
             };
-            Ok::<_, Infallible>(response.await.map(watch))
+            Ok::<_, Infallible>(response.map(watch))
         }
     });
     let connection = http1::Builder::new()
@@ -484,6 +491,35 @@
     }
 }
 
+fn has_known_length(response: &Response<BoxedBody>) -> bool {
+    response
+        .headers()
+        .contains_key(http::header::CONTENT_LENGTH)
+        || response.body().size_hint().exact().is_some()
+}
+
+/// Lets a connection be reset if it is closed before the end of its answer, also by the end of the process. HTTP/1.0 has no
+/// chunks, so that an answer without a length ends with the connection, and an orderly end would look complete.
+struct ResetOnClose(TcpStream);
+
+impl ResetOnClose {
+    fn begin(socket: TcpStream) -> Self {
+        let reset = Self(socket);
+        reset.set_linger(Some(Duration::ZERO));
+        reset
+    }
+
+    fn end(self) {
+        self.set_linger(None);
+    }
+
+    fn set_linger(&self, time: Option<Duration>) {
+        if let Err(error) = socket2::SockRef::from(&self.0).set_linger(time) {
+            tracing::warn!(event = "linger_not_set", %error);
+        }
+    }
+}
+
 /// Records the end of a request when its body and its answer are dropped.
 struct RequestEnded(ReadMeter);
 
@@ -513,6 +549,8 @@
 struct WatchedBody {
     body: BoxedBody,
     unread_since: UnreadSince,
+    /// Until the end of an answer that the connection ends.
+    unfinished: Option<ResetOnClose>,
     _end: Rc<RequestEnded>,
 }
 
@@ -527,6 +565,10 @@
         let polled = self.body.as_mut().poll_frame(context);
         let since = polled.is_ready().then(Instant::now);
         self.unread_since.0.set(since);
+        let unfinished = &mut self.unfinished;
+        if let Some(unfinished) = unfinished.take_if(|_| matches!(polled, Poll::Ready(None))) {
+            unfinished.end();
+        }
         polled
     }
 
