Ask peers before proofs of a restored store count

Cause: an entry that starts in a later era took the store's answer as proof that the configuration is the newest. Only peers can know that the store lost a newer one, and their first heartbeat came after the first proof. An entry that runs but has not read the newer configuration is in the same position when an era begins.

Nothing changes for a store that has not been restored, or an entry without peers. The event `peers_reported` gives the wait.

--- a/crates/camphorwall-direct/src/endpoints/registry.rs
+++ b/crates/camphorwall-direct/src/endpoints/registry.rs
@@ -25,6 +25,12 @@
     has_expired: bool,
 }
 
+/// The proof of keys that an entry had when the store was restored.
+#[derive(Debug)]
+struct EarlierProof {
+    keys_proved_at: Option<Moment>,
+}
+
 /// The configuration and the endpoints that an entry knows.
 #[derive(Debug, Default)]
 pub(crate) struct Registry {
@@ -36,6 +42,9 @@
     /// Moment up to which no key is known to have been withdrawn. Later than `proved_at` if a newer configuration is known
     /// to have the same keys.
     keys_proved_at: Option<Moment>,
+    /// While peers may still report a configuration that a restored store has lost: the proof of before, which counts in place of
+    /// `keys_proved_at`.
+    earlier_proof: Option<EarlierProof>,
     registrations: HashMap<EndpointName, Registration>,
     /// Revisions of removals, so that a page of an older list doesn't bring an endpoint back.
     removed_at: HashMap<EndpointName, StoreRevision>,
@@ -122,17 +131,41 @@
         self.keys_proved_at = self.keys_proved_at.max(Some(moment));
     }
 
+    /// Lets new proofs of keys count only once they are released: the store has been restored, and what it lost is not known.
+    pub(crate) fn withhold_proofs(&mut self) {
+        let keys_proved_at = self.counting_proof();
+        self.earlier_proof = Some(EarlierProof { keys_proved_at });
+    }
+
+    /// Lets the newest proofs count; returns whether they had been withheld.
+    pub(crate) fn release_proofs(&mut self) -> bool {
+        self.earlier_proof.take().is_some()
+    }
+
+    pub(crate) const fn withholds_proofs(&self) -> bool {
+        self.earlier_proof.is_some()
+    }
+
+    /// The proof of keys that counts.
+    fn counting_proof(&self) -> Option<Moment> {
+        let earlier = self.earlier_proof.as_ref();
+        earlier.map_or(self.keys_proved_at, |earlier| earlier.keys_proved_at)
+    }
+
     /// Withdraws the proofs: a newer configuration was published that the store has lost.
     pub(crate) fn withdraw_proofs(&mut self) {
         self.proved_at = None;
         self.keys_proved_at = None;
+        if let Some(earlier) = &mut self.earlier_proof {
+            earlier.keys_proved_at = None;
+        }
     }
 
     /// Whether keys may be trusted: a key must not be served once the bound has passed since its withdrawal.
     #[must_use]
     pub(crate) fn keys_are_fresh(&self, now: Moment, key_withdrawal: Duration) -> bool {
         let limit = key_withdrawal.saturating_sub(WITHDRAWAL_MARGIN);
-        self.keys_proved_at
+        self.counting_proof()
             .is_some_and(|proved_at| now.since(proved_at) < limit)
     }
 
--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -129,6 +129,8 @@
     pub(crate) is_following_reader: Cell<bool>,
     /// Number of times the store had been restored at its last answer; `None` before the first.
     pub(crate) store_era: Cell<Option<u64>>,
+    /// Since when peers are asked what they have in force, as the store has been restored.
+    peers_asked_at: Cell<Option<Moment>>,
     pub(crate) quotas: RefCell<Quotas>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) lengths: RefCell<LengthModel>,
@@ -263,6 +265,7 @@
             revision_lag: RefCell::default(),
             reads_store: Cell::new(false),
             store_era: Cell::new(None),
+            peers_asked_at: Cell::new(None),
             quotas: RefCell::new(Quotas::new(Moment::now())),
             retries: RefCell::new(RetryBudget::new(bounds, Moment::now())),
             is_following_reader: Cell::new(false),
@@ -637,7 +640,32 @@
 
     /// Whether a route or a key that is not in the configuration in force may be in a newer one.
     pub(crate) fn may_be_outdated(&self, now: Moment) -> bool {
-        self.tracker.borrow().is_outdated() || !self.registry.borrow().has_fresh_proof(now)
+        let registry = self.registry.borrow();
+        let is_proved = registry.has_fresh_proof(now) && !registry.withholds_proofs();
+        self.tracker.borrow().is_outdated() || !is_proved
+    }
+
+    /// Withholds the proofs of a store that has been restored until the peers have reported what they have in force: it may
+    /// have lost a newer configuration.
+    pub(crate) fn withhold_proofs_until_reported(&self, now: Moment) {
+        self.registry.borrow_mut().withhold_proofs();
+        self.peers_asked_at.set(Some(now));
+        self.release_proofs_if_reported(now);
+    }
+
+    /// Releases the proofs once all peers have reported that can.
+    pub(crate) fn release_proofs_if_reported(&self, now: Moment) {
+        let Some(asked_at) = self.peers_asked_at.get() else {
+            return;
+        };
+        if !self.peers.borrow().have_reported_since(asked_at, now) {
+            return;
+        }
+        self.peers_asked_at.set(None);
+        if self.registry.borrow_mut().release_proofs() {
+            let waited_ms = now.since(asked_at).as_millis();
+            tracing::info!(event = "peers_reported", waited_ms);
+        }
     }
 
     /// Whether a newer configuration is known that must be in force by now but could not be read.
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -231,6 +231,14 @@
         }
     }
 
+    /// Whether each peer has sent a heartbeat since a moment, but for those that are silent.
+    pub(crate) fn have_reported_since(&self, since: Moment, now: Moment) -> bool {
+        self.known.values().all(|peer| {
+            let has_reported = peer.incarnation.is_some() && peer.last_seen_at >= since;
+            has_reported || now.since(peer.last_seen_at) > SILENT_AFTER
+        })
+    }
+
     /// Number of known entries, this one included.
     pub(crate) fn count(&self) -> usize {
         self.known.len() + 1
@@ -426,6 +434,7 @@
 async fn send_heartbeat(entry: &Entry, socket: &UdpSocket, content: HeartbeatContent) {
     let (addresses, heartbeat) = {
         let now = Moment::now();
+        entry.release_proofs_if_reported(now);
         let share = entry.quota_share(now);
         let mut peers = entry.peers.borrow_mut();
         let addresses: Vec<_> = peers.known.keys().copied().collect();
@@ -565,6 +574,7 @@
         heartbeat.sound_revision,
         heartbeat.configuration,
     );
+    entry.release_proofs_if_reported(now);
     for leaving in heartbeat.leaving {
         if entry.notices.borrow_mut().note_peer(leaving, now) {
             let registry = entry.registry.borrow();
--- a/crates/camphorwall-direct/src/fleet/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -14,6 +14,7 @@
     fleet::peers::{
         Heartbeat, Peers, apply_heartbeat, changes_interval, heartbeat_period, receive_heartbeats,
     },
+    fleet::shares::SILENT_AFTER,
     testing::{at_ms, entry_with_empty_dialect, team, wait_limits_until},
 };
 
@@ -253,6 +254,35 @@
     panic!("the heartbeat was not received");
 }
 
+/// Guards against proofs of a restored store that count before a peer has told of a newer configuration that the store lost.
+#[test]
+fn proofs_of_a_restored_store_count_once_all_peers_have_reported() {
+    let entry = entry_with_empty_dialect();
+    let (peer, silent) = (seeds(2)[0], seeds(2)[1]);
+    apply_heartbeat(&entry, peer, heartbeat(1, true, Vec::new()));
+    entry.peers.borrow_mut().add_seeds(&[silent]);
+    let restored_at = Moment::now();
+    let (bound, later) = (Duration::from_secs(5), Duration::from_secs(3));
+    let are_fresh_at = |now| entry.registry.borrow().keys_are_fresh(now, bound);
+    entry.registry.borrow_mut().prove(restored_at - later);
+    entry.withhold_proofs_until_reported(restored_at);
+    entry.registry.borrow_mut().prove(restored_at + later);
+    assert!(are_fresh_at(restored_at), "the proof from before counts");
+    assert!(!are_fresh_at(restored_at + later), "the new one doesn't");
+    apply_heartbeat(&entry, peer, heartbeat(2, true, Vec::new()));
+    assert!(
+        !are_fresh_at(restored_at + later),
+        "the other may still report"
+    );
+    entry.release_proofs_if_reported(restored_at + SILENT_AFTER / 2);
+    assert!(
+        !are_fresh_at(restored_at + later),
+        "which is not silent yet"
+    );
+    entry.release_proofs_if_reported(restored_at + 2 * SILENT_AFTER);
+    assert!(are_fresh_at(restored_at + later));
+}
+
 /// The store turns one entry away, so that it can't prove its keys, while it serves the others. A caller that is refused
 /// here is served there at once.
 #[test]
