Tell passed deadlines from broken connections, and name who reports

An answer that the deadline ends was logged and counted as connection_broke; its reason is deadline_passed now. withhold_proofs_until_peers_report and release_proofs_if_peers_reported say in their names what they wait for.

--- a/crates/camphorwall-direct/src/entry.rs
+++ b/crates/camphorwall-direct/src/entry.rs
@@ -647,14 +647,14 @@
 
     /// Withholds the proofs of a store that has been restored until the peers have reported what they have in force: it may
     /// have lost a newer configuration.
-    pub(crate) fn withhold_proofs_until_reported(&self, now: Moment) {
+    pub(crate) fn withhold_proofs_until_peers_report(&self, now: Moment) {
         self.registry.borrow_mut().withhold_proofs();
         self.peers_asked_at.set(Some(now));
-        self.release_proofs_if_reported(now);
+        self.release_proofs_if_peers_reported(now);
     }
 
     /// Releases the proofs once all peers have reported that can.
-    pub(crate) fn release_proofs_if_reported(&self, now: Moment) {
+    pub(crate) fn release_proofs_if_peers_reported(&self, now: Moment) {
         let Some(asked_at) = self.peers_asked_at.get() else {
             return;
         };
--- a/crates/camphorwall-direct/src/fleet/peers.rs
+++ b/crates/camphorwall-direct/src/fleet/peers.rs
@@ -434,7 +434,7 @@
 async fn send_heartbeat(entry: &Entry, socket: &UdpSocket, content: HeartbeatContent) {
     let (addresses, heartbeat) = {
         let now = Moment::now();
-        entry.release_proofs_if_reported(now);
+        entry.release_proofs_if_peers_reported(now);
         let share = entry.quota_share(now);
         let mut peers = entry.peers.borrow_mut();
         let addresses: Vec<_> = peers.known.keys().copied().collect();
@@ -574,7 +574,7 @@
         heartbeat.sound_revision,
         heartbeat.configuration,
     );
-    entry.release_proofs_if_reported(now);
+    entry.release_proofs_if_peers_reported(now);
     for leaving in heartbeat.leaving {
         if entry.notices.borrow_mut().note_peer(leaving, now) {
             let registry = entry.registry.borrow();
--- a/crates/camphorwall-direct/src/fleet/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -265,7 +265,7 @@
     let (bound, later) = (Duration::from_secs(5), Duration::from_secs(3));
     let are_fresh_at = |now| entry.registry.borrow().keys_are_fresh(now, bound);
     entry.registry.borrow_mut().prove(restored_at - later);
-    entry.withhold_proofs_until_reported(restored_at);
+    entry.withhold_proofs_until_peers_report(restored_at);
     entry.registry.borrow_mut().prove(restored_at + later);
     assert!(are_fresh_at(restored_at), "the proof from before counts");
     assert!(!are_fresh_at(restored_at + later), "the new one doesn't");
@@ -274,12 +274,12 @@
         !are_fresh_at(restored_at + later),
         "the other may still report"
     );
-    entry.release_proofs_if_reported(restored_at + SILENT_AFTER / 2);
+    entry.release_proofs_if_peers_reported(restored_at + SILENT_AFTER / 2);
     assert!(
         !are_fresh_at(restored_at + later),
         "which is not silent yet"
     );
-    entry.release_proofs_if_reported(restored_at + 2 * SILENT_AFTER);
+    entry.release_proofs_if_peers_reported(restored_at + 2 * SILENT_AFTER);
     assert!(are_fresh_at(restored_at + later));
 }
 
--- a/crates/camphorwall-direct/src/serve/completeness.rs
+++ b/crates/camphorwall-direct/src/serve/completeness.rs
@@ -26,6 +26,8 @@
 pub(crate) enum BreakReason {
     /// The connection failed, or ended before the announced length or the last chunk.
     ConnectionBroke,
+    /// The caller's deadline, or the route's timeout, passed before the end.
+    DeadlinePassed,
     /// The endpoint accepts no connections after it closed the one that its answer ends with.
     EndpointUnreachable,
     EventTooLarge,
--- a/crates/camphorwall-direct/src/serve/plain.rs
+++ b/crates/camphorwall-direct/src/serve/plain.rs
@@ -393,13 +393,18 @@
             stop_point: StopPoint::InBody,
             is_resumed: false,
         };
+        let (endpoint, events) = (&self.placement.endpoint, BROKEN_ANSWER_EVENTS);
+        let is_reachable =
+            self.entry
+                .is_still_reachable(endpoint, &self.admitted, self.sent_at, events);
+        let checked = end.check(is_reachable).await;
+        checked.map_err(|reason| self.note_broken(reason, error))
+    }
+
+    /// Records an incomplete answer.
+    fn note_broken(&self, reason: BreakReason, error: Option<&io::Error>) -> io::Error {
         let (entry, admitted) = (&self.entry, &self.admitted);
         let endpoint = &self.placement.endpoint;
-        let (sent_at, events) = (self.sent_at, BROKEN_ANSWER_EVENTS);
-        let is_reachable = entry.is_still_reachable(endpoint, admitted, sent_at, events);
-        let Err(reason) = end.check(is_reachable).await else {
-            return Ok(());
-        };
         tracing::info!(
             event = "answer_broke",
             request_id = admitted.id(),
@@ -408,17 +413,16 @@
             error = error.map(tracing::field::display),
         );
         entry.metrics.count_broken_answer(reason);
-        let has_timed_out = error.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut);
         // An unreachable endpoint has been checked, and its crash recorded.
         if reason != BreakReason::EndpointUnreachable {
             let mut suspicions = entry.suspicions.borrow_mut();
             suspicions.note_failure(&endpoint.id, Moment::now());
-            drop(suspicions);
-            if !has_timed_out {
-                entry.check_for_crash(endpoint, admitted, sent_at, events);
-            }
         }
-        Err(io::Error::other(reason.label()))
+        if reason == BreakReason::ConnectionBroke {
+            let (sent_at, events) = (self.sent_at, BROKEN_ANSWER_EVENTS);
+            entry.check_for_crash(endpoint, admitted, sent_at, events);
+        }
+        io::Error::other(reason.label())
     }
 }
 
@@ -441,13 +445,15 @@
             entry, admitted, ..
         } = &self.source;
         let next = compio::time::timeout(admitted.time_left(), self.body.next()).await;
-        let error = match next.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-            Ok(Some(bytes)) => return Some(Ok(bytes)),
-            Ok(None) => None,
-            Err(error) => Some(error),
+        let checked = match next {
+            Ok(Ok(Some(bytes))) => return Some(Ok(bytes)),
+            Ok(end) => {
+                let framing = self.body.framing();
+                self.source.check_end(framing, end.err().as_ref()).await
+            }
+            Err(_) => Err(self.source.note_broken(BreakReason::DeadlinePassed, None)),
         };
-        let checked = self.source.check_end(self.body.framing(), error.as_ref());
-        match checked.await {
+        match checked {
             Ok(()) => {
                 if self.is_success {
                     note_answered(entry, admitted);
--- a/crates/camphorwall-direct/src/serve/relay.rs
+++ b/crates/camphorwall-direct/src/serve/relay.rs
@@ -188,7 +188,11 @@
                         return Some(Err(self.cut(refusal.reason)));
                     }
                 }
-                Err(_) => return Some(Err(self.cut(RequestEnd::TimedOut))),
+                Err(_) => {
+                    let metrics = &self.entry.metrics;
+                    metrics.count_broken_answer(BreakReason::DeadlinePassed);
+                    return Some(Err(self.cut(RequestEnd::TimedOut)));
+                }
             }
         }
     }
--- a/crates/camphorwall-direct/src/store/era.rs
+++ b/crates/camphorwall-direct/src/store/era.rs
@@ -34,7 +34,7 @@
         // The entry has just started; it knows nothing of an earlier era, and its peers may.
         if era > 0 {
             entry.tracker.borrow_mut().start_in_era(era);
-            entry.withhold_proofs_until_reported(now);
+            entry.withhold_proofs_until_peers_report(now);
         }
         return;
     };
@@ -45,6 +45,6 @@
         registry.evacuations.begin_era();
     }
     entry.tracker.borrow_mut().begin_era(era, now);
-    entry.withhold_proofs_until_reported(now);
+    entry.withhold_proofs_until_peers_report(now);
     entry.configuration_wanted.notify();
 }
