--- a/crates/camphorwall-direct/src/fleet/peers_tests.rs
+++ b/crates/camphorwall-direct/src/fleet/peers_tests.rs
@@ -254,7 +254,7 @@
     panic!("the heartbeat was not received");
 }
 
-/// Guards against proofs of a restored store that count before a peer has told of a newer configuration that the store lost.
+/// Guards against proofs of a restored store that count before a peer has reported a newer configuration that the store lost.
 #[test]
 fn proofs_of_a_restored_store_count_once_all_peers_have_reported() {
     let entry = entry_with_empty_dialect();
